--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+DEPLOYMENT ?= kulhus
+
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
+
+.PHONY: demo test lint format clean
+
+demo: $(VENV)/installed
+	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
+
+test: $(VENV)/installed
+	$(VENV)/bin/python -m pytest
+
+lint: $(VENV)/installed
+	$(VENV)/bin/ruff format --check packages tests tools
+	$(VENV)/bin/ruff check packages tests tools
+	$(VENV)/bin/python tools/check_imports.py packages tests tools
+	$(VENV)/bin/lint-imports
+	$(VENV)/bin/mypy $(foreach p,core adapters daemon client standins,packages/$(p)/buckthorn_$(p)) tools
+
+format: $(VENV)/installed
+	$(VENV)/bin/ruff check --fix packages tests tools
+	$(VENV)/bin/ruff format packages tests tools
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/adapters/buckthorn_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters behind the ports of buckthorn_core."""
--- /dev/null
+++ b/packages/adapters/buckthorn_adapters/log_clients.py
@@ -0,0 +1,136 @@
+"""Client of the platform's log service, over HTTP."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import msgspec
+import urllib3
+import zstandard
+
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import ports
+from buckthorn_core import records
+from buckthorn_core import traffic
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 3.0
+MAX_BATCH_BYTES = 64 * 1_048_576
+
+CountBytes = Callable[[str, int], None]
+
+
+class _WireRecord(msgspec.Struct, array_like=True):
+    offset: int
+    time_ms: int
+    data: bytes
+
+
+class _WireBatch(msgspec.Struct):
+    first: int
+    next: int
+    records: list[_WireRecord]
+
+
+class HttpLogClient:
+    """Appends to and reads from the log service. Records are compressed."""
+
+    def __init__(
+        self, url: str, control: traffic.ControlTraffic, scope: traffic.Scope
+    ):
+        self._url = url.rstrip("/")
+        self._control = control
+        self._scope = scope
+        self._decoder = msgspec.msgpack.Decoder(_WireBatch)
+        self._pool = urllib3.PoolManager(
+            maxsize=4,
+            retries=False,
+            timeout=urllib3.Timeout(
+                connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
+            ),
+        )
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._pool.clear()
+
+    def append(self, stream: str, data: bytes) -> ids.Offset:
+        """Appends a record.
+
+        Raises:
+            errors.LogError: The append failed, or its answer was lost, in
+                which case the record may have been appended.
+        """
+        packed = zstandard.compress(data)
+        if len(packed) > records.MAX_RECORD_BYTES:
+            raise errors.LogError(
+                errors.Code.RECORD_TOO_LARGE,
+                f"record of {len(packed)} bytes is too large",
+            )
+        body = self._request(
+            "POST", f"/v1/streams/{stream}/records", "log_append", packed
+        )
+        try:
+            return ids.Offset(int(json.loads(body)["offset"]))
+        except (ValueError, KeyError, TypeError) as exc:
+            raise errors.LogError(errors.Code.BAD_RECORD, str(exc)) from exc
+
+    def read(
+        self, stream: str, start: ids.Offset, limit: int = 256
+    ) -> ports.LogBatch:
+        """Reads records from an offset on.
+
+        A record that can't be decompressed is returned as it is; its reader
+        then finds it malformed.
+
+        Raises:
+            errors.LogError: The log can't be read now.
+        """
+        body = self._request(
+            "GET",
+            f"/v1/streams/{stream}/records?from={start}&limit={limit}",
+            "log_read",
+        )
+        try:
+            batch = self._decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            raise errors.LogError(errors.Code.BAD_RECORD, str(exc)) from exc
+        return ports.LogBatch(
+            first=ids.Offset(batch.first),
+            end=ids.Offset(batch.next),
+            records=[
+                ports.LogRecord(
+                    ids.Offset(r.offset), r.time_ms, _unpack(r.data)
+                )
+                for r in batch.records
+            ],
+        )
+
+    def _request(
+        self, method: str, path: str, kind: str, body: bytes = b""
+    ) -> bytes:
+        options: dict[str, Any] = {"body": body} if body else {}
+        try:
+            resp = self._pool.request(method, self._url + path, **options)
+        except urllib3.exceptions.HTTPError as exc:
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE, str(exc), 1.0
+            ) from exc
+        size = len(path) + len(body) + len(resp.data)
+        self._control.add(kind, self._scope, size)
+        if resp.status != 200:
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE, f"status {resp.status}", 1.0
+            )
+        return resp.data
+
+
+def _unpack(data: bytes) -> bytes:
+    try:
+        size = zstandard.frame_content_size(data)
+        if not 0 <= size <= records.MAX_RECORD_BYTES:
+            return b""
+        return zstandard.decompress(data)
+    except zstandard.ZstdError:
+        return data
--- /dev/null
+++ b/packages/client/buckthorn_client/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for operators."""
--- /dev/null
+++ b/packages/core/buckthorn_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic: no sockets, clocks or threads."""
--- /dev/null
+++ b/packages/core/buckthorn_core/endpoints.py
@@ -0,0 +1,143 @@
+"""Upstream endpoints of services, kept current from the gossip table."""
+
+from typing import NamedTuple
+
+from buckthorn_core import entries
+from buckthorn_core import gossip
+from buckthorn_core import ids
+
+MAX_SUMMARY_ADDRESSES = 4
+
+_MEMBER_TAKES_WORK = frozenset(
+    {entries.MemberState.UP, entries.MemberState.SUSPECT}
+)
+_UPSTREAM_TAKES_WORK = frozenset(
+    {entries.UpstreamState.UP, entries.UpstreamState.COLD}
+)
+
+
+class Endpoint(NamedTuple):
+    """An upstream behind its daemon.
+
+    Attributes:
+        daemon: The daemon, or for another region its address.
+        address: Where to send requests.
+        region: Region of the upstream.
+        site: Site of the upstream; empty for another region.
+        slots: Requests that it runs at once.
+        cold: Whether it started a short time ago.
+        suspect: Whether its daemon is suspected to be dead.
+    """
+
+    daemon: ids.DaemonId
+    address: ids.Address
+    region: ids.RegionName
+    site: ids.SiteName
+    slots: int
+    cold: bool = False
+    suspect: bool = False
+
+
+class EndpointIndex:
+    """Endpoints by service."""
+
+    def __init__(self, region: ids.RegionName, table: gossip.GossipTable):
+        self._region = region
+        self._local: dict[ids.ServiceName, dict[ids.DaemonId, Endpoint]] = {}
+        self._service_of: dict[ids.DaemonId, ids.ServiceName] = {}
+        self._remote: dict[
+            ids.ServiceName, dict[ids.RegionName, list[Endpoint]]
+        ] = {}
+        for entry in table.entries.values():
+            self._on_entry(entry)
+        table.listen(self._on_entry)
+
+    def local(self, service: ids.ServiceName) -> list[Endpoint]:
+        """Returns the endpoints in the own region."""
+        return list(self._local.get(service, {}).values())
+
+    def remote(self, service: ids.ServiceName) -> list[Endpoint]:
+        """Returns known endpoints in other regions."""
+        by_region = self._remote.get(service, {})
+        return [e for endpoints in by_region.values() for e in endpoints]
+
+    def services(self) -> list[ids.ServiceName]:
+        """Returns the services with endpoints in the own region."""
+        return [name for name, found in self._local.items() if found]
+
+    def _on_entry(self, entry: entries.Entry) -> None:
+        if isinstance(entry, entries.Member):
+            self._on_member(entry)
+        elif isinstance(entry, entries.ServiceSummary):
+            self._on_summary(entry)
+
+    def _on_member(self, member: entries.Member) -> None:
+        old = self._service_of.pop(member.id, None)
+        if old is not None:
+            self._local[old].pop(member.id, None)
+        takes_work = (
+            member.state in _MEMBER_TAKES_WORK
+            and member.upstream_state in _UPSTREAM_TAKES_WORK
+        )
+        if not member.service or not takes_work:
+            return
+        self._service_of[member.id] = member.service
+        self._local.setdefault(member.service, {})[member.id] = Endpoint(
+            daemon=member.id,
+            address=member.http_address,
+            region=member.region,
+            site=member.site,
+            slots=member.slots,
+            cold=member.upstream_state is entries.UpstreamState.COLD,
+            suspect=member.state is entries.MemberState.SUSPECT,
+        )
+
+    def _on_summary(self, summary: entries.ServiceSummary) -> None:
+        if summary.region == self._region:
+            return
+        share = summary.slots // max(1, summary.instances)
+        endpoints = [
+            Endpoint(
+                daemon=ids.DaemonId(address),
+                address=address,
+                region=summary.region,
+                site=ids.SiteName(""),
+                slots=share,
+            )
+            for address in summary.http_addresses
+        ]
+        self._remote.setdefault(summary.service, {})[summary.region] = endpoints
+
+
+def summarise(
+    region: ids.RegionName,
+    members: list[entries.Member],
+    draining_sites: frozenset[ids.SiteName],
+) -> list[entries.ServiceSummary]:
+    """Sums up a region's services for other regions, with rank zero."""
+    grouped: dict[ids.ServiceName, list[entries.Member]] = {}
+    for member in members:
+        if not member.service:
+            continue
+        group = grouped.setdefault(member.service, [])
+        if (
+            member.state is entries.MemberState.UP
+            and member.upstream_state in _UPSTREAM_TAKES_WORK
+            and member.site not in draining_sites
+        ):
+            group.append(member)
+    return [
+        entries.ServiceSummary(
+            region=region,
+            service=service,
+            incarnation=0,
+            revision=0,
+            instances=len(group),
+            slots=sum(member.slots for member in group),
+            http_addresses=[
+                member.remote_http_address
+                for member in sorted(group, key=lambda m: m.id)
+            ][:MAX_SUMMARY_ADDRESSES],
+        )
+        for service, group in grouped.items()
+    ]
--- /dev/null
+++ b/packages/core/buckthorn_core/entries.py
@@ -0,0 +1,161 @@
+"""Entries of the table that gossip replicates inside a region."""
+
+import enum
+
+import msgspec
+
+from buckthorn_core import ids
+
+
+class MemberState(enum.Enum):
+    """State of a daemon."""
+
+    STARTING = "starting"
+    UP = "up"
+    DRAINING = "draining"
+    LEFT = "left"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class UpstreamState(enum.Enum):
+    """State of the upstream beside a daemon."""
+
+    NONE = "none"
+    COLD = "cold"
+    UP = "up"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+# At equal incarnation and revision a suspicion supersedes the member's own
+# word, and a death supersedes the suspicion.
+_SEVERITY = {MemberState.SUSPECT: 1, MemberState.DEAD: 2}
+GONE = frozenset({MemberState.LEFT, MemberState.DEAD})
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    """A daemon and the upstream beside it.
+
+    Attributes:
+        id: The daemon.
+        incarnation: Start time, in ms since the epoch.
+        revision: Raised by the daemon at each change of its record.
+        state: State of the daemon.
+        region: Its region.
+        site: Its site.
+        peer_address: Where daemons of the region reach it.
+        remote_peer_address: Where daemons of other regions reach it.
+        http_address: Where daemons of the region send requests.
+        remote_http_address: Where daemons of other regions send requests.
+        service: Service of the upstream, or empty.
+        upstream_state: State of the upstream.
+        slots: Requests that the upstream runs at once.
+        connections: Connections that the upstream takes.
+    """
+
+    id: ids.DaemonId
+    incarnation: int
+    revision: int
+    state: MemberState
+    region: ids.RegionName
+    site: ids.SiteName
+    peer_address: ids.Address
+    remote_peer_address: ids.Address
+    http_address: ids.Address
+    remote_http_address: ids.Address
+    service: ids.ServiceName = ids.ServiceName("")
+    upstream_state: UpstreamState = UpstreamState.NONE
+    slots: int = 0
+    connections: int = 0
+
+    @property
+    def key(self) -> str:
+        """Key of the entry in the table."""
+        return f"m/{self.id}"
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """The entry with the higher rank wins."""
+        severity = _SEVERITY.get(self.state, 0)
+        return (self.incarnation, self.revision, severity)
+
+
+class ServiceSummary(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """What other regions need to know of a service of a region.
+
+    Attributes:
+        region: The region.
+        service: The service.
+        incarnation: Start time of the writer, in ms since the epoch.
+        revision: Raised by the writer at each change.
+        instances: Instances that take work.
+        slots: Sum of their slots.
+        http_addresses: Remote HTTP addresses of some of their daemons.
+    """
+
+    region: ids.RegionName
+    service: ids.ServiceName
+    incarnation: int
+    revision: int
+    instances: int
+    slots: int
+    http_addresses: list[ids.Address]
+
+    @property
+    def key(self) -> str:
+        """Key of the entry in the table."""
+        return f"s/{self.region}/{self.service}"
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """The entry with the higher rank wins."""
+        return (self.incarnation, self.revision, 0)
+
+
+class RegionContacts(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Remote peer addresses of a region, its relays first."""
+
+    region: ids.RegionName
+    incarnation: int
+    revision: int
+    addresses: list[ids.Address]
+
+    @property
+    def key(self) -> str:
+        """Key of the entry in the table."""
+        return f"r/{self.region}"
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """The entry with the higher rank wins."""
+        return (self.incarnation, self.revision, 0)
+
+
+class Suspicion(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A request that was in flight when upstreams crashed.
+
+    Attributes:
+        fingerprint: Digest that recognises the request.
+        incarnation: First crash, in ms since the epoch.
+        revision: Raised at each crash and at a clearing completion.
+        crashes: Upstream crashes without a completion in between.
+    """
+
+    fingerprint: ids.Fingerprint
+    incarnation: int
+    revision: int
+    crashes: int
+
+    @property
+    def key(self) -> str:
+        """Key of the entry in the table."""
+        return f"q/{self.fingerprint}"
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """The entry with the higher rank wins."""
+        return (self.incarnation, self.revision, self.crashes)
+
+
+Entry = Member | ServiceSummary | RegionContacts | Suspicion
--- /dev/null
+++ b/packages/core/buckthorn_core/errors.py
@@ -0,0 +1,118 @@
+"""Exceptions with codes.
+
+Each code has one HTTP status and says whether an answer with it means that
+the request never reached an upstream.
+"""
+
+import enum
+from typing import NamedTuple
+
+
+class Code(enum.Enum):
+    """Codes of errors, as callers and operators see them."""
+
+    NO_ROUTE = "no_route"
+    NO_UPSTREAM = "no_upstream"
+    NOT_READY = "not_ready"
+    SLOTS_FULL = "slots_full"
+    DEADLINE_PASSED = "deadline_passed"
+    CLAIM_EXPIRED = "claim_expired"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_CUT_SHORT = "body_cut_short"
+    BAD_REQUEST = "bad_request"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_SILENT = "upstream_silent"
+    TIMED_OUT = "timed_out"
+    UPSTREAM_SHED = "upstream_shed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    IN_PROGRESS = "in_progress"
+    LOG_UNAVAILABLE = "log_unavailable"
+    LOG_GAP = "log_gap"
+    PEER_UNAVAILABLE = "peer_unavailable"
+    BAD_MESSAGE = "bad_message"
+    BAD_SETTINGS = "bad_settings"
+    BAD_RECORD = "bad_record"
+    RECORD_TOO_LARGE = "record_too_large"
+    VERSION_NOT_CLOSED = "version_not_closed"
+    VERSION_MISMATCH = "version_mismatch"
+
+
+class Trait(NamedTuple):
+    """What an answer with a code tells the caller."""
+
+    http_status: int
+    not_run: bool
+
+
+TRAITS: dict[Code, Trait] = {
+    Code.NO_ROUTE: Trait(404, True),
+    Code.NO_UPSTREAM: Trait(503, True),
+    Code.NOT_READY: Trait(503, True),
+    Code.SLOTS_FULL: Trait(503, True),
+    Code.DEADLINE_PASSED: Trait(504, True),
+    Code.CLAIM_EXPIRED: Trait(503, True),
+    Code.DRAINING: Trait(503, True),
+    Code.QUARANTINED: Trait(422, True),
+    Code.BODY_TOO_LARGE: Trait(413, True),
+    Code.HEADERS_TOO_LARGE: Trait(431, True),
+    Code.BODY_CUT_SHORT: Trait(400, False),
+    Code.BAD_REQUEST: Trait(400, True),
+    Code.UPSTREAM_FAILED: Trait(502, False),
+    Code.UPSTREAM_SILENT: Trait(504, False),
+    Code.TIMED_OUT: Trait(504, False),
+    Code.UPSTREAM_SHED: Trait(503, True),
+    Code.OUTCOME_UNKNOWN: Trait(409, False),
+    Code.IN_PROGRESS: Trait(409, False),
+    Code.LOG_UNAVAILABLE: Trait(503, True),
+    Code.PEER_UNAVAILABLE: Trait(503, True),
+}
+_INTERNAL = Trait(500, False)
+
+
+class BuckthornError(Exception):
+    """Base of all errors of the project.
+
+    Attributes:
+        code: The code.
+        retry_after_s: When to come back, in seconds; None if never.
+    """
+
+    def __init__(
+        self, code: Code, message: str, retry_after_s: float | None = None
+    ):
+        super().__init__(f"{code.value}: {message}")
+        self.code = code
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+    @property
+    def trait(self) -> Trait:
+        """HTTP status and not-run flag of the code."""
+        return TRAITS.get(self.code, _INTERNAL)
+
+
+class RequestError(BuckthornError):
+    """A request that the system answers itself."""
+
+
+class LogError(BuckthornError):
+    """The log service did not do what was asked, or its answer was lost."""
+
+
+class PeerError(BuckthornError):
+    """A peer did not answer, or sent what can't be read."""
+
+
+class ConfigError(BuckthornError):
+    """Configuration that can't be put in force."""
+
+
+_CODES = {code.value: code for code in Code}
+
+
+def code_of(text: str) -> Code:
+    """Returns the code with a name; an unknown name means a refusal."""
+    return _CODES.get(text, Code.UPSTREAM_SHED)
--- /dev/null
+++ b/packages/core/buckthorn_core/ids.py
@@ -0,0 +1,16 @@
+"""Types of the ids that the packages share."""
+
+from typing import NewType
+
+DaemonId = NewType("DaemonId", str)
+ServiceName = NewType("ServiceName", str)
+ResourceName = NewType("ResourceName", str)
+RouteName = NewType("RouteName", str)
+SiteName = NewType("SiteName", str)
+RegionName = NewType("RegionName", str)
+VersionNumber = NewType("VersionNumber", int)
+Offset = NewType("Offset", int)
+PublicationId = NewType("PublicationId", str)
+OperationKey = NewType("OperationKey", str)
+Fingerprint = NewType("Fingerprint", str)
+Address = NewType("Address", str)
--- /dev/null
+++ b/packages/core/buckthorn_core/messages.py
@@ -0,0 +1,255 @@
+"""Messages between daemons.
+
+Each message is a request with one answer. An envelope carries the sender and
+its configuration version, so that a stale daemon finds out from any message.
+"""
+
+import msgspec
+
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import signing
+
+FORMAT = 1
+MAX_MESSAGE_BYTES = 4 * 1_048_576
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
+    """Answer without content."""
+
+
+class Failed(msgspec.Struct, frozen=True, array_like=True, tag="failed"):
+    """Answer of a daemon that can't do what was asked."""
+
+    code: str
+    message: str
+
+
+class Gossip(msgspec.Struct, frozen=True, array_like=True, tag="gossip"):
+    """Recent changes, and a digest of the sender's table."""
+
+    changes: list[entries.Entry]
+    digest: int
+
+
+class GossipReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="gossip_reply"
+):
+    """The answerer's recent changes and digest."""
+
+    changes: list[entries.Entry]
+    digest: int
+
+
+class Sync(msgspec.Struct, frozen=True, array_like=True, tag="sync"):
+    """Bucket digests; empty asks for the whole table."""
+
+    digests: list[int]
+    items: list[entries.Entry] = []
+
+
+class SyncReply(msgspec.Struct, frozen=True, array_like=True, tag="sync_reply"):
+    """Entries of buckets that differ."""
+
+    buckets: list[int]
+    items: list[entries.Entry]
+
+
+class ProbeRequest(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
+    """Asks for a probe of a third daemon."""
+
+    address: ids.Address
+
+
+class ProbeReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="probe_reply"
+):
+    """Whether the third daemon answered."""
+
+    alive: bool
+
+
+class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
+    """A new version can be pulled from the sender."""
+
+    version: meshes.VersionId
+
+
+class Pull(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
+    """Asks for the current version."""
+
+    held: meshes.VersionId
+
+
+class PullReply(msgspec.Struct, frozen=True, array_like=True, tag="pull_reply"):
+    """A version.
+
+    Attributes:
+        result: Value of a `relays.PullResult`.
+        version: The version.
+        based_on: The version that the delta applies to.
+        data: Compressed delta or whole.
+        retry_after_ms: When to ask again if the relay was busy.
+    """
+
+    result: str
+    version: meshes.VersionId
+    based_on: meshes.VersionId = meshes.NO_VERSION
+    data: bytes = b""
+    retry_after_ms: int = 0
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
+    """What a child tells its parent regularly.
+
+    Attributes:
+        held: Version in force at the child.
+        counts: Number of daemons below by version number, child included.
+        laggards: Some daemons with the lowest version.
+    """
+
+    held: meshes.VersionId
+    counts: dict[int, int]
+    laggards: list[ids.DaemonId]
+
+
+class ReportReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="report_reply"
+):
+    """The parent's version, and how old its confirmation by the log is.
+
+    Attributes:
+        version: Version in force at the parent.
+        confirmed_ms: Time since a log reader found it to be the latest, in
+            ms; -1 if it never was.
+    """
+
+    version: meshes.VersionId
+    confirmed_ms: int
+
+
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag="summary"):
+    """Changes of a region's services and contacts, for another region.
+
+    Attributes:
+        region: The region that is summed up.
+        items: Entries that changed since the last summary.
+        digest: Digest of all of the region's entries.
+    """
+
+    region: ids.RegionName
+    items: list[entries.Entry]
+    digest: int
+
+
+class SummaryReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="summary_reply"
+):
+    """Digest of what the answering region holds of the sender's region."""
+
+    digest: int
+
+
+class StatusQuery(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """Asks for the versions in force below a daemon."""
+
+
+class StatusReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="status_reply"
+):
+    """Versions in force.
+
+    Attributes:
+        accepted: The version that the log's readers accepted.
+        counts: Number of daemons by version number.
+        laggards: Some daemons with the lowest version.
+    """
+
+    accepted: meshes.VersionId
+    counts: dict[int, int]
+    laggards: list[ids.DaemonId]
+
+
+Payload = (
+    Ack
+    | Failed
+    | Gossip
+    | GossipReply
+    | Sync
+    | SyncReply
+    | ProbeRequest
+    | ProbeReply
+    | Announce
+    | Pull
+    | PullReply
+    | Report
+    | ReportReply
+    | Summary
+    | SummaryReply
+    | StatusQuery
+    | StatusReply
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender.
+
+    Attributes:
+        format: Format of the message.
+        sender: The sending daemon.
+        address: Its peer address, as the receiver can reach it.
+        region: Its region.
+        site: Its site.
+        version: Number of its version in force; 0 while it is not ready.
+        payload: The message.
+    """
+
+    format: int
+    sender: ids.DaemonId
+    address: ids.Address
+    region: ids.RegionName
+    site: ids.SiteName
+    version: ids.VersionNumber
+    payload: Payload
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope, key: bytes) -> bytes:
+    """Encodes a message and appends its authentication code."""
+    data = _encoder.encode(envelope)
+    return data + signing.sign(key, data)
+
+
+def decode(data: bytes, key: bytes) -> Envelope:
+    """Decodes a message.
+
+    Raises:
+        errors.PeerError: The message is too long, not authentic, malformed,
+            or of another format.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise _bad_message(f"{len(data)} bytes are too many")
+    body, mac = data[: -signing.MAC_BYTES], data[-signing.MAC_BYTES :]
+    if not signing.verify(key, body, mac):
+        raise _bad_message("the authentication code is wrong")
+    try:
+        envelope = _decoder.decode(body)
+    except msgspec.DecodeError as exc:
+        raise _bad_message(str(exc)) from exc
+    if envelope.format != FORMAT:
+        raise _bad_message(f"format {envelope.format} is not {FORMAT}")
+    return envelope
+
+
+def kind(payload: Payload) -> str:
+    """Returns the name of a message's kind, for counters."""
+    return str(type(payload).__struct_config__.tag)
+
+
+def _bad_message(text: str) -> errors.PeerError:
+    return errors.PeerError(errors.Code.BAD_MESSAGE, text)
--- /dev/null
+++ b/packages/core/buckthorn_core/relays.py
@@ -0,0 +1,122 @@
+"""Distribution of versions from parents to children."""
+
+import collections
+import enum
+from typing import NamedTuple
+
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import ports
+
+MAX_PULLS = 32
+KEPT_VERSIONS = 4
+KEPT_DELTAS = 16
+CHILD_TIMEOUT_S = 15.0
+
+
+class PullResult(enum.Enum):
+    """How a pull was answered."""
+
+    CURRENT = "current"
+    DELTA = "delta"
+    WHOLE = "whole"
+    BUSY = "busy"
+
+
+class PullAnswer(NamedTuple):
+    """Answer to a pull.
+
+    Attributes:
+        result: How it was answered.
+        version: The version sent, or held by both.
+        based_on: The version that a delta applies to.
+        data: Compressed delta or compressed whole.
+    """
+
+    result: PullResult
+    version: meshes.VersionId
+    based_on: meshes.VersionId = meshes.NO_VERSION
+    data: bytes = b""
+
+
+class Relay:
+    """Serves versions to the daemons below.
+
+    Deltas are cached by the version held, so that a herd of children in the
+    same state costs one compression.
+    """
+
+    def __init__(self, codec: ports.DeltaCodec):
+        self._codec = codec
+        self._versions: collections.OrderedDict[meshes.VersionId, bytes] = (
+            collections.OrderedDict()
+        )
+        self._cache: collections.OrderedDict[meshes.VersionId, PullAnswer] = (
+            collections.OrderedDict()
+        )
+        self._children: dict[ids.DaemonId, float] = {}
+        self.version = meshes.NO_VERSION
+        self.pulls_running = 0
+
+    def put(self, version: meshes.VersionId, raw: bytes) -> bool:
+        """Makes a version the one to serve, unless it isn't newer."""
+        if version.number <= self.version.number:
+            return False
+        self.version = version
+        self._versions[version] = raw
+        while len(self._versions) > KEPT_VERSIONS:
+            self._versions.popitem(last=False)
+        self._cache.clear()
+        return True
+
+    def raw(self, version: meshes.VersionId) -> bytes | None:
+        """Returns the bundle of a version that is still kept."""
+        return self._versions.get(version)
+
+    def pull(self, held: meshes.VersionId) -> PullAnswer:
+        """Answers a daemon that holds a version."""
+        if held.number >= self.version.number:
+            return PullAnswer(PullResult.CURRENT, self.version)
+        if self.pulls_running >= MAX_PULLS:
+            return PullAnswer(PullResult.BUSY, self.version)
+        base = held if held in self._versions else meshes.NO_VERSION
+        cached = self._cache.get(base)
+        if cached is None:
+            cached = self._make_answer(base)
+            self._cache[base] = cached
+            while len(self._cache) > KEPT_DELTAS:
+                self._cache.popitem(last=False)
+        return cached
+
+    def _make_answer(self, base: meshes.VersionId) -> PullAnswer:
+        raw = self._versions[self.version]
+        old = self._versions.get(base)
+        data = self._codec.encode(raw, old)
+        result = PullResult.WHOLE if old is None else PullResult.DELTA
+        return PullAnswer(result, self.version, base, data)
+
+    def unpack(self, answer: PullAnswer) -> bytes | None:
+        """Returns the encoded bundle of an answer.
+
+        Returns:
+            None if the version that the delta applies to is not kept.
+        """
+        if answer.result is PullResult.WHOLE:
+            return self._codec.decode(answer.data, None)
+        old = self._versions.get(answer.based_on)
+        if answer.result is not PullResult.DELTA or old is None:
+            return None
+        return self._codec.decode(answer.data, old)
+
+    def add_child(self, child: ids.DaemonId, now_s: float) -> None:
+        """Notes that a daemon has this one as its parent."""
+        self._children[child] = now_s
+
+    def children(self, now_s: float) -> list[ids.DaemonId]:
+        """Returns the children heard from within `CHILD_TIMEOUT_S`."""
+        self._children = {
+            child: seen
+            for child, seen in self._children.items()
+            if now_s - seen < CHILD_TIMEOUT_S
+        }
+        return list(self._children)
--- /dev/null
+++ b/packages/core/buckthorn_core/roles.py
@@ -0,0 +1,127 @@
+"""Roles as pure functions of the live membership.
+
+Members are ranked by rendezvous hashing, so every daemon with the same member
+table names the same holders, and a member that leaves moves only its own
+roles. Two holders, or none, for a moment cost bytes or time only.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import hashlib
+
+from buckthorn_core import ids
+
+LOG_READERS = 2
+RELAYS = 2
+TREE_BASE_BITS = 4
+MAX_TREE_LEVEL = 8
+
+Role = Callable[[Sequence[ids.DaemonId]], list[ids.DaemonId]]
+_roles: dict[str, Role] = {}
+
+
+def role(name: str) -> Callable[[Role], Role]:
+    """Registers a function that names the holders of a role."""
+
+    def register(function: Role) -> Role:
+        _roles[name] = function
+        return function
+
+    return register
+
+
+def names() -> list[str]:
+    """Returns the names of all roles."""
+    return sorted(_roles)
+
+
+def holders(name: str, members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    """Returns the holders of a role, the first choice first.
+
+    Raises:
+        KeyError: There is no such role.
+    """
+    return _roles[name](members)
+
+
+def score(key: str, member: ids.DaemonId) -> int:
+    """Returns a member's weight for a key; the highest wins."""
+    data = f"{key}\0{member}".encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+def ranked(
+    key: str, members: Iterable[ids.DaemonId], count: int
+) -> list[ids.DaemonId]:
+    """Returns the members with the highest scores, the highest first."""
+    scored = sorted(((score(key, m), m) for m in members), reverse=True)
+    return [member for _, member in scored[:count]]
+
+
+@role("log_reader")
+def _log_readers(members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    return ranked("log_reader", members, LOG_READERS)
+
+
+@role("relay")
+def _relays(members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    # The same key as for log readers: in the log's region the readers are
+    # the relays, which saves a hop.
+    return ranked("log_reader", members, RELAYS)
+
+
+@role("checkpoint_writer")
+def _checkpoint_writers(members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    return _log_readers(members)[:1]
+
+
+@role("contacts_writer")
+def _contacts_writers(members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    return ranked("contacts_writer", members, 1)
+
+
+@role("summary_writer")
+def _summary_writers(members: Sequence[ids.DaemonId]) -> list[ids.DaemonId]:
+    return _relays(members)[:1]
+
+
+def level(member: ids.DaemonId) -> int:
+    """Returns a member's level in the tree: its leading zero digits."""
+    digits = 64 // TREE_BASE_BITS
+    value = score("level", member)
+    count = 0
+    for index in range(min(digits, MAX_TREE_LEVEL)):
+        shift = 64 - TREE_BASE_BITS * (index + 1)
+        if (value >> shift) & ((1 << TREE_BASE_BITS) - 1):
+            break
+        count += 1
+    return count
+
+
+class Tree:
+    """The distribution tree of a region.
+
+    A member's parent is chosen by rendezvous hashing from the next higher
+    level that is not empty. Members of the highest level hang below the first
+    relay, which has no parent inside the region.
+    """
+
+    def __init__(self, members: Iterable[ids.DaemonId]):
+        self._levels: dict[int, list[ids.DaemonId]] = {}
+        everyone = []
+        for member in members:
+            everyone.append(member)
+            self._levels.setdefault(level(member), []).append(member)
+        self.relays = holders("relay", everyone)
+
+    def parent(self, member: ids.DaemonId) -> ids.DaemonId | None:
+        """Returns the parent; None for the first relay."""
+        if not self.relays or member == self.relays[0]:
+            return None
+        own = level(member)
+        higher = [n for n in self._levels if n > own]
+        if not higher:
+            return self.relays[0]
+        candidates = self._levels[min(higher)]
+        return ranked(f"parent:{member}", candidates, 1)[0]
--- /dev/null
+++ b/packages/core/buckthorn_core/validation.py
@@ -0,0 +1,201 @@
+"""Checks of a bundle. A check is a function that yields findings."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from buckthorn_core import findings
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import views
+
+Check = Callable[[meshes.Bundle], Iterable[findings.Finding]]
+
+MAX_SLOTS = 100_000
+MAX_CONNECTIONS = 1_000_000
+MAX_DEADLINE_MS = 3_600_000
+MAX_BODY_BYTES = 16 * 1024**3
+
+BASE_FILE = "base"
+
+_checks: list[Check] = []
+
+
+def check(function: Check) -> Check:
+    """Registers a check of bundles."""
+    _checks.append(function)
+    return function
+
+
+def overlay_file(site: ids.SiteName) -> str:
+    """Returns the name under which findings refer to a site's overlay."""
+    return f"overlay:{site}"
+
+
+def validate(bundle: meshes.Bundle) -> list[findings.Finding]:
+    """Runs all checks; an empty list means that the bundle is valid."""
+    return [finding for run in _checks for finding in run(bundle)]
+
+
+def _all_sites(base: meshes.Base) -> set[ids.SiteName]:
+    return {site for sites in base.regions.values() for site in sites}
+
+
+@check
+def _site_names(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    seen: dict[ids.SiteName, ids.RegionName] = {}
+    for region, sites in bundle.base.regions.items():
+        for index, site in enumerate(sites):
+            if site in seen:
+                yield findings.Finding(
+                    BASE_FILE,
+                    ("regions", region, index),
+                    "duplicate-site",
+                    f"site {site!r} is already in region {seen[site]!r}",
+                )
+            seen[site] = region
+
+
+@check
+def _overlay_sites(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    sites = _all_sites(bundle.base)
+    for site, overlay in bundle.overlays.items():
+        file = overlay_file(site)
+        if overlay.site != site:
+            yield findings.Finding(
+                file,
+                ("site",),
+                "wrong-site",
+                f"the overlay of {site!r} names site {overlay.site!r}",
+            )
+        if site not in sites:
+            yield findings.Finding(
+                file,
+                ("site",),
+                "unknown-site",
+                f"the base has no site {site!r}",
+            )
+        for target, weight in overlay.traffic.items():
+            if target not in sites:
+                yield findings.Finding(
+                    file,
+                    ("traffic", target),
+                    "unknown-site",
+                    f"the base has no site {target!r}",
+                )
+            if weight < 0:
+                yield findings.Finding(
+                    file,
+                    ("traffic", target),
+                    "bad-weight",
+                    "a weight must be 0 or more",
+                )
+
+
+@check
+def _overlay_chains(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    for site, overlay in bundle.overlays.items():
+        seen = {site}
+        name = overlay.extends
+        while name is not None:
+            if name not in bundle.overlays:
+                yield findings.Finding(
+                    overlay_file(site),
+                    ("extends",),
+                    "unknown-overlay",
+                    f"there is no overlay of {name!r} to extend",
+                )
+                break
+            if name in seen:
+                yield findings.Finding(
+                    overlay_file(site),
+                    ("extends",),
+                    "cycle",
+                    f"the overlays extend each other in a cycle at {name!r}",
+                )
+                break
+            seen.add(name)
+            name = bundle.overlays[name].extends
+
+
+@check
+def _overlay_targets(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    base = bundle.base
+    for site, overlay in bundle.overlays.items():
+        pairs = (
+            ("services", set(overlay.services), set(base.services)),
+            ("resources", set(overlay.resources), set(base.resources)),
+            ("routes", set(overlay.routes), set(base.routes)),
+        )
+        for kind, named, known in pairs:
+            for name in sorted(named - known):
+                yield findings.Finding(
+                    overlay_file(site),
+                    (kind, name),
+                    "unknown-name",
+                    f"the base has no {name!r} in {kind}",
+                )
+
+
+@check
+def _limits(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    for site in sorted(_all_sites(bundle.base)):
+        view = views.merge(bundle, site)
+        for name, service in view.services.items():
+            for field, value, most in (
+                ("slots", service.slots, MAX_SLOTS),
+                ("connections", service.connections, MAX_CONNECTIONS),
+            ):
+                if not 1 <= value <= most:
+                    yield _out_of_range(
+                        ("services", name, field), site, value, 1, most
+                    )
+        for resource, limits in view.resources.items():
+            for field, value, least, most in (
+                ("deadline_ms", limits.deadline_ms, 1, MAX_DEADLINE_MS),
+                ("max_body_bytes", limits.max_body_bytes, 0, MAX_BODY_BYTES),
+            ):
+                if not least <= value <= most:
+                    yield _out_of_range(
+                        ("resources", resource, field), site, value, least, most
+                    )
+
+
+def _out_of_range(
+    path: findings.Path, site: ids.SiteName, value: int, least: int, most: int
+) -> findings.Finding:
+    return findings.Finding(
+        BASE_FILE,
+        path,
+        "out-of-range",
+        f"{value} at site {site} is not between {least} and {most}",
+    )
+
+
+@check
+def _prefixes(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    for site in sorted(_all_sites(bundle.base)):
+        owners: dict[str, ids.RouteName] = {}
+        for name, route in views.merge(bundle, site).routes.items():
+            if not route.prefix.startswith("/"):
+                yield findings.Finding(
+                    BASE_FILE,
+                    ("routes", name, "prefix"),
+                    "bad-prefix",
+                    f"prefix {route.prefix!r} does not start with '/'",
+                )
+            if route.prefix in owners:
+                yield findings.Finding(
+                    BASE_FILE,
+                    ("routes", name, "prefix"),
+                    "duplicate-prefix",
+                    f"at site {site} route {owners[route.prefix]!r} has the"
+                    f" prefix {route.prefix!r} too",
+                )
+            owners[route.prefix] = name
+
+
+@check
+def _closed(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
+    for site in sorted(_all_sites(bundle.base)):
+        yield from views.check_closed(views.merge(bundle, site))
--- /dev/null
+++ b/packages/core/buckthorn_core/views.py
@@ -0,0 +1,145 @@
+"""The configuration of one site: the base with the site's overlay merged."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from buckthorn_core import findings
+from buckthorn_core import ids
+from buckthorn_core import meshes
+
+_Item = TypeVar("_Item", bound=msgspec.Struct)
+_Name = TypeVar("_Name", bound=str)
+
+
+class SiteView(msgspec.Struct, frozen=True):
+    """What a daemon at a site puts in force.
+
+    Attributes:
+        site: The site.
+        region: Its region.
+        services: Services by name.
+        resources: Resources by name.
+        routes: Routes by name.
+        traffic: Sites for this site's requests, with weights.
+        draining_sites: All sites that take no new work.
+        region_by_site: Region of each site.
+    """
+
+    site: ids.SiteName
+    region: ids.RegionName
+    services: dict[ids.ServiceName, meshes.Service]
+    resources: dict[ids.ResourceName, meshes.Resource]
+    routes: dict[ids.RouteName, meshes.Route]
+    traffic: dict[ids.SiteName, float]
+    draining_sites: frozenset[ids.SiteName]
+    region_by_site: dict[ids.SiteName, ids.RegionName]
+
+    def match(self, path: str) -> meshes.Route | None:
+        """Returns the route with the longest prefix of a request's path."""
+        best = None
+        for route in self.routes.values():
+            if path.startswith(route.prefix) and (
+                best is None or len(route.prefix) > len(best.prefix)
+            ):
+                best = route
+        return best
+
+
+def overlay_chain(
+    bundle: meshes.Bundle, site: ids.SiteName
+) -> list[meshes.Overlay]:
+    """Returns the overlays of a site, those it extends first.
+
+    A cycle ends the chain; validation reports it.
+    """
+    chain: list[meshes.Overlay] = []
+    seen: set[ids.SiteName] = set()
+    name: ids.SiteName | None = site
+    while name is not None and name in bundle.overlays and name not in seen:
+        seen.add(name)
+        overlay = bundle.overlays[name]
+        chain.append(overlay)
+        name = overlay.extends
+    chain.reverse()
+    return chain
+
+
+def _changes(overlay: msgspec.Struct) -> dict[str, Any]:
+    return {
+        name: value
+        for name, value in msgspec.structs.asdict(overlay).items()
+        if name != "absent" and value is not None
+    }
+
+
+def _merge(
+    base: Mapping[_Name, _Item], overlays: list[Mapping[_Name, Any]]
+) -> dict[_Name, _Item]:
+    merged = dict(base)
+    for overlay in overlays:
+        for name, change in overlay.items():
+            if name not in base:
+                continue
+            if change.absent:
+                merged.pop(name, None)
+            else:
+                item = merged.get(name, base[name])
+                merged[name] = msgspec.structs.replace(item, **_changes(change))
+    return merged
+
+
+def merge(bundle: meshes.Bundle, site: ids.SiteName) -> SiteView:
+    """Merges base and overlays for one site."""
+    chain = overlay_chain(bundle, site)
+    own = bundle.overlays.get(site)
+    base = bundle.base
+    return SiteView(
+        site=site,
+        region=meshes.region_of(base, site) or ids.RegionName(""),
+        services=_merge(base.services, [o.services for o in chain]),
+        resources=_merge(base.resources, [o.resources for o in chain]),
+        routes=_merge(base.routes, [o.routes for o in chain]),
+        traffic=dict(own.traffic) if own else {},
+        draining_sites=frozenset(
+            name
+            for name, overlay in bundle.overlays.items()
+            if overlay.state is meshes.SiteState.DRAINING
+        ),
+        region_by_site={
+            name: region
+            for region, sites in base.regions.items()
+            for name in sites
+        },
+    )
+
+
+def check_closed(view: SiteView) -> list[findings.Finding]:
+    """Returns a finding for each dangling reference of a site's routes."""
+    found = []
+    for name, route in view.routes.items():
+        if route.service not in view.services:
+            found.append(
+                _dangling(view, name, "service", route.service),
+            )
+        if route.resource not in view.resources:
+            found.append(
+                _dangling(view, name, "resource", route.resource),
+            )
+    return found
+
+
+def _dangling(
+    view: SiteView, route: ids.RouteName, kind: str, target: str
+) -> findings.Finding:
+    return findings.Finding(
+        file="base",
+        path=("routes", route, kind),
+        code="dangling-reference",
+        message=(
+            f"at site {view.site} route {route!r} uses {kind} {target!r},"
+            " which the site does not have"
+        ),
+    )
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: wires the core to the adapters."""
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -0,0 +1,116 @@
+"""Local HTTP interface: announcements, status, metrics."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from buckthorn_adapters import servers
+from buckthorn_core import errors
+from buckthorn_core import roles
+from buckthorn_core import traffic
+from buckthorn_daemon import ingress
+from buckthorn_daemon import relaying
+from buckthorn_daemon import state
+
+MAX_BODY_BYTES = 65_536
+
+Handler = Callable[["Admin", servers.Exchange], None]
+_handlers: dict[tuple[str, str], Handler] = {}
+
+
+def endpoint(method: str, path: str) -> Callable[[Handler], Handler]:
+    """Registers a handler."""
+
+    def register(function: Handler) -> Handler:
+        _handlers[(method, path)] = function
+        return function
+
+    return register
+
+
+class Admin:
+    """Serves the local interface."""
+
+    def __init__(
+        self,
+        shared: state.State,
+        local: ingress.Ingress,
+        distributor: relaying.Distributor,
+    ):
+        self.shared = shared
+        self.local = local
+        self.distributor = distributor
+
+    def handle(self, exchange: servers.Exchange) -> None:
+        """Serves a request.
+
+        Raises:
+            errors.RequestError: The request is malformed or unknown.
+        """
+        path = exchange.path.split("?", 1)[0]
+        handler = _handlers.get((exchange.method, path))
+        if handler is None:
+            raise errors.RequestError(errors.Code.NO_ROUTE, path)
+        exchange.body.limit(MAX_BODY_BYTES)
+        handler(self, exchange)
+
+
+@endpoint("POST", "/v1/announce")
+def _announce(admin: Admin, exchange: servers.Exchange) -> None:
+    body = b"".join(exchange.body.pieces())
+    try:
+        upstream = msgspec.json.decode(body, type=ingress.Announcement)
+    except msgspec.DecodeError as exc:
+        raise errors.RequestError(errors.Code.BAD_REQUEST, str(exc)) from exc
+    admin.local.announce(upstream)
+    exchange.answer(200, b"{}")
+
+
+@endpoint("GET", "/v1/status")
+def _status(admin: Admin, exchange: servers.Exchange) -> None:
+    shared = admin.shared
+    with shared.lock:
+        members = shared.membership.members()
+        eligible = shared.membership.eligible()
+        document = {
+            "daemon": shared.cfg.daemon_id,
+            "region": shared.cfg.region,
+            "site": shared.cfg.site,
+            "ready": shared.holder.ready,
+            "version": shared.holder.version.number,
+            "digest": shared.holder.version.digest,
+            "members": len(members),
+            "roles": {
+                name: roles.holders(name, eligible) for name in roles.names()
+            },
+            "control_bytes": {
+                scope.value: shared.control.total(scope)
+                for scope in traffic.Scope
+            },
+            "upstreams": [
+                {
+                    "daemon": member.id,
+                    "site": member.site,
+                    "state": member.state.value,
+                    "service": member.service,
+                    "upstream_state": member.upstream_state.value,
+                    "slots": member.slots,
+                }
+                for member in members
+            ],
+        }
+    below = admin.distributor.status()
+    document["below"] = {
+        "counts": {str(k): v for k, v in below.counts.items()},
+        "laggards": below.laggards,
+    }
+    exchange.answer(200, msgspec.json.encode(document))
+
+
+@endpoint("GET", "/metrics")
+def _metrics(admin: Admin, exchange: servers.Exchange) -> None:
+    exchange.answer(
+        200,
+        admin.shared.metrics.exposition(),
+        "text/plain; version=0.0.4; charset=utf-8",
+    )
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -0,0 +1,179 @@
+"""The daemon: start, planned stop, close."""
+
+from collections.abc import Callable
+import time
+
+import loguru
+
+from buckthorn_adapters import log_clients
+from buckthorn_adapters import peers
+from buckthorn_adapters import servers
+from buckthorn_core import entries
+from buckthorn_core import messages
+from buckthorn_core import traffic
+from buckthorn_daemon import admin
+from buckthorn_daemon import egress
+from buckthorn_daemon import gossiping
+from buckthorn_daemon import headers
+from buckthorn_daemon import ingress
+from buckthorn_daemon import jobs
+from buckthorn_daemon import reading
+from buckthorn_daemon import relaying
+from buckthorn_daemon import settings
+from buckthorn_daemon import state
+from buckthorn_daemon import summarising
+
+ADMIN_THREADS = 2
+DRAIN_POLL_S = 0.05
+LEFT_GOSSIP_S = 0.6
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Daemon:
+    """Wires the parts together and owns their lifetime."""
+
+    def __init__(self, cfg: settings.Settings):
+        peers.limit_threads()
+        self._cfg = cfg
+        self.shared = state.State(cfg)
+        scope = (
+            traffic.Scope.LOCAL
+            if cfg.region == cfg.log_region
+            else traffic.Scope.REGION
+        )
+        self._log = log_clients.HttpLogClient(
+            cfg.log_url, self.shared.control, scope
+        )
+        self._reader = reading.LogReader(self.shared, self._log)
+        self._gossiper = gossiping.Gossiper(self.shared, self._log)
+        self._distributor = relaying.Distributor(self.shared, self._reader)
+        self._summariser = summarising.Summariser(self.shared)
+        self._ingress = ingress.Ingress(self.shared)
+        self._egress = egress.Egress(self.shared)
+        self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
+        self._peer_server = peers.PeerServer(
+            cfg.peer_listen,
+            self.shared.identity,
+            self.shared.control,
+            self._on_message,
+        )
+        self._http = servers.HttpServer(
+            cfg.http_listen, cfg.http_threads, self._on_request
+        )
+        self._admin_http = servers.HttpServer(
+            cfg.admin_listen, ADMIN_THREADS, self._admin.handle
+        )
+        self._handlers = self._make_handlers()
+        self._scheduler = jobs.Scheduler()
+        self._add_jobs()
+
+    def _add_jobs(self) -> None:
+        add = self._scheduler.add
+        reader, distributor = self._reader, self._distributor
+        add("gossip", 0.5, self._gossiper.probe)
+        add("join", self._gossiper.join_wait_s, self._gossiper.join)
+        add("log_poll", reader.poll_wait_s, reader.poll)
+        add("checkpoint", 2.0, reader.checkpoint)
+        add("contacts", self._contacts_wait_s, reader.write_contacts)
+        add("summary", summarising.SUMMARY_S, self._summariser.run)
+        add("upstream", 0.5, self._ingress.check_upstream)
+        add(
+            "continue",
+            ingress.CONTINUE_PERIOD_S * 0.8,
+            self._ingress.send_continues,
+        )
+        report = add("report", distributor.report_wait_s, distributor.report)
+        self.shared.on_version.append(self._on_version)
+        self.shared.on_version.append(report.wake)
+
+    def _contacts_wait_s(self) -> float:
+        if self.shared.holder.ready:
+            return reading.CONTACTS_PERIOD_S
+        return 1.0
+
+    def start(self) -> None:
+        """Starts to listen and to work.
+
+        Raises:
+            errors.PeerError: The peer address can't be listened on.
+            OSError: An HTTP address can't be listened on.
+        """
+        self._peer_server.start()
+        self._http.start()
+        self._admin_http.start()
+        self._scheduler.start()
+        _logger.info("started", daemon=self._cfg.daemon_id)
+
+    def drain(self) -> None:
+        """Stops taking work and waits for what is in flight."""
+        _logger.info("draining", daemon=self._cfg.daemon_id)
+        self._ingress.stop_admitting()
+        with self.shared.lock:
+            self.shared.membership.update_me(state=entries.MemberState.DRAINING)
+        end_s = time.monotonic() + self._cfg.drain_min_s
+        while time.monotonic() < end_s:
+            time.sleep(DRAIN_POLL_S)
+        self._egress.stop_admitting()
+        while not (self._ingress.idle and self._egress.idle):
+            time.sleep(DRAIN_POLL_S)
+        with self.shared.lock:
+            self.shared.membership.update_me(state=entries.MemberState.LEFT)
+        time.sleep(LEFT_GOSSIP_S)
+        _logger.info("drained", daemon=self._cfg.daemon_id)
+
+    def close(self) -> None:
+        """Stops everything at once."""
+        self._scheduler.close()
+        self._http.close()
+        self._admin_http.close()
+        self._peer_server.close()
+        self.shared.client.close()
+        self._egress.close()
+        self._ingress.close()
+        self._log.close()
+
+    def _on_version(self) -> None:
+        version = self.shared.holder.version.number
+        _logger.info("version_in_force", version=version)
+        self._scheduler.submit(self._distributor.announce)
+
+    def _on_request(self, exchange: servers.Exchange) -> None:
+        if headers.is_ingress(exchange):
+            self._ingress.handle(exchange)
+        else:
+            self._egress.handle(exchange)
+
+    def _on_message(self, envelope: messages.Envelope) -> messages.Payload:
+        self.shared.note_peer(envelope)
+        handler = self._handlers.get(type(envelope.payload))
+        if handler is None:
+            return messages.Failed("bad_message", "not a request")
+        return handler(envelope.payload, envelope)
+
+    def _make_handlers(self) -> dict[type, Callable[..., messages.Payload]]:
+        gossiper, distributor = self._gossiper, self._distributor
+        return {
+            messages.Gossip: lambda m, e: gossiper.on_gossip(m, e.sender),
+            messages.Sync: lambda m, e: gossiper.on_sync(m),
+            messages.ProbeRequest: lambda m, e: gossiper.on_probe_request(m),
+            messages.Announce: self._on_announce,
+            messages.Pull: lambda m, e: distributor.on_pull(m),
+            messages.Report: distributor.on_report,
+            messages.Summary: lambda m, e: self._summariser.on_summary(m),
+            messages.StatusQuery: lambda m, e: distributor.status(),
+        }
+
+    def _on_announce(
+        self, message: messages.Announce, envelope: messages.Envelope
+    ) -> messages.Ack:
+        if message.version.number <= self.shared.holder.version.number:
+            return messages.Ack()
+        scope = (
+            traffic.Scope.LOCAL
+            if envelope.region == self._cfg.region
+            else traffic.Scope.REGION
+        )
+        address = envelope.address
+        self._scheduler.submit(lambda: self._distributor.pull(address, scope))
+        return messages.Ack()
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -0,0 +1,304 @@
+"""Requests of callers: choice of an upstream, retries, relay of the answer."""
+
+from collections.abc import Iterator
+import random
+import threading
+import time
+from typing import Any
+
+import urllib3
+
+from buckthorn_adapters import bodies
+from buckthorn_adapters import servers
+from buckthorn_adapters import upstreams
+from buckthorn_core import choices
+from buckthorn_core import endpoints
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import retries
+from buckthorn_core import snapshots
+from buckthorn_daemon import headers
+from buckthorn_daemon import state
+
+# An ingress shows that it is alive every second, so three seconds without a
+# byte mean that the connection is silent.
+SILENCE_S = 3.0
+
+
+class Call:
+    """A request of a caller on its way.
+
+    Attributes:
+        snapshot: The version it started with.
+        deadline_s: Its deadline in local monotonic seconds.
+        idempotent: Whether it may run more than once.
+        body: The body, if it is small enough to be sent again.
+        body_consumed: Whether bytes of a long body have been sent.
+        tried: Daemons that it was sent to.
+    """
+
+    def __init__(
+        self,
+        exchange: servers.Exchange,
+        snapshot: snapshots.Snapshot,
+        route: meshes.Route,
+    ):
+        resource = snapshot.view.resources[route.resource]
+        self.exchange = exchange
+        self.snapshot = snapshot
+        self.route = route
+        self.deadline_s = headers.deadline_s(
+            exchange, time.monotonic(), resource.deadline_ms / 1000
+        )
+        self.idempotent = retries.is_idempotent(
+            exchange.method, resource.idempotent
+        )
+        self.body: bytes | None = None
+        self.body_consumed = False
+        self.tried: set[ids.DaemonId] = set()
+        exchange.body.limit(resource.max_body_bytes)
+        exchange.add_header(headers.VERSION, str(snapshot.version.number))
+        length = exchange.body.length
+        self.streams = length is None or length > bodies.PIECE_BYTES
+        if not self.streams:
+            self.body = b"".join(exchange.body.pieces())
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yields the pieces of a long body."""
+        for piece in self.exchange.body.pieces():
+            self.body_consumed = True
+            yield piece
+
+
+class Egress:
+    """Sends callers' requests to daemons beside upstreams."""
+
+    def __init__(self, shared: state.State):
+        self._shared = shared
+        self._pools = upstreams.Pools()
+        self._observations = choices.Observations()
+        self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
+        self._policy = choices.get(shared.cfg.choice_policy)
+        self._rng = random.Random()
+        self._lock = threading.Lock()
+        self._running = 0
+        self._closed = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request of a caller is in flight."""
+        return self._running == 0
+
+    def close(self) -> None:
+        """Closes the connections to other daemons."""
+        self._pools.close()
+
+    def stop_admitting(self) -> None:
+        """Refuses all new requests from now on."""
+        self._closed = True
+
+    def handle(self, exchange: servers.Exchange) -> None:
+        """Serves a request of a caller.
+
+        Raises:
+            errors.RequestError: The request is refused or has failed.
+        """
+        started_s = time.monotonic()
+        with self._lock:
+            self._running += 1
+        service = "none"
+        try:
+            call = self._open(exchange)
+            service = call.route.service
+            self._send(call)
+        except errors.BuckthornError as exc:
+            self._shared.metrics.count(
+                "buckthorn_request_errors",
+                service=service,
+                code=exc.code.value,
+            )
+            raise
+        finally:
+            with self._lock:
+                self._running -= 1
+            self._shared.metrics.record(
+                "buckthorn_request",
+                time.monotonic() - started_s,
+                service=service,
+            )
+            self._shared.metrics.count("buckthorn_requests", service=service)
+
+    def _open(self, exchange: servers.Exchange) -> Call:
+        if self._closed:
+            raise errors.RequestError(
+                errors.Code.DRAINING, "this daemon is stopping", 1.0
+            )
+        snapshot = self._shared.holder.current
+        if snapshot is None or not self._shared.holder.ready:
+            raise errors.RequestError(
+                errors.Code.NOT_READY, "the configuration is not known yet", 1.0
+            )
+        path = exchange.path.split("?", 1)[0]
+        route = snapshot.view.match(path)
+        if route is None:
+            raise errors.RequestError(errors.Code.NO_ROUTE, path)
+        return Call(exchange, snapshot, route)
+
+    def _send(self, call: Call) -> None:
+        with self._lock:
+            budget = self._budgets.setdefault(
+                call.route.service, retries.RetryBudget()
+            )
+            budget.add_request()
+        tries = 0
+        while True:
+            endpoint = self._choose(call)
+            call.tried.add(endpoint.daemon)
+            try:
+                self._try(call, endpoint)
+                return
+            except errors.RequestError as exc:
+                if call.exchange.started:
+                    raise
+                with self._lock:
+                    again = retries.may_retry(
+                        exc, call.idempotent, call.body_consumed, tries, budget
+                    )
+                if not again or not self._candidates(call):
+                    raise
+                tries += 1
+                self._shared.metrics.count(
+                    "buckthorn_retries", service=call.route.service
+                )
+
+    def _candidates(self, call: Call) -> list[endpoints.Endpoint]:
+        shared = self._shared
+        view = call.snapshot.view
+        service = call.route.service
+        with shared.lock:
+            local = shared.endpoints.local(service)
+            remote = shared.endpoints.remote(service)
+        return [
+            endpoint
+            for endpoint in [*local, *remote]
+            if endpoint.daemon not in call.tried
+            and endpoint.site not in view.draining_sites
+        ]
+
+    def _choose(self, call: Call) -> endpoints.Endpoint:
+        candidates = self._candidates(call)
+        if not candidates:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM,
+                f"no instance of {call.route.service} takes work",
+                1.0,
+            )
+        site, region = self._origin(call)
+        first = choices.tiers(candidates, site, region)[0]
+        with self._lock:
+            return self._policy(
+                first, self._observations, time.monotonic(), self._rng
+            )
+
+    def _origin(self, call: Call) -> tuple[ids.SiteName, ids.RegionName]:
+        """Returns the place from which distances to upstreams count."""
+        view = call.snapshot.view
+        weights = view.traffic
+        if not weights or not any(weights.values()):
+            return view.site, view.region
+        sites = list(weights)
+        site = self._rng.choices(sites, [weights[s] for s in sites])[0]
+        return site, view.region_by_site.get(site, view.region)
+
+    def _try(self, call: Call, endpoint: endpoints.Endpoint) -> None:
+        started_s = time.monotonic()
+        with self._lock:
+            self._observations.started(endpoint.daemon, started_s)
+        try:
+            self._exchange(call, endpoint)
+        except errors.RequestError as exc:
+            now_s = time.monotonic()
+            with self._lock:
+                if exc.trait.not_run:
+                    self._observations.refused(endpoint.daemon, now_s)
+                else:
+                    self._observations.failed(endpoint.daemon, now_s)
+            raise
+        except OSError:
+            # The caller has gone; that says nothing of the endpoint.
+            with self._lock:
+                self._observations.abandoned(endpoint.daemon, started_s)
+            raise
+        now_s = time.monotonic()
+        with self._lock:
+            self._observations.finished(
+                endpoint.daemon, now_s, now_s - started_s
+            )
+
+    def _exchange(self, call: Call, endpoint: endpoints.Endpoint) -> None:
+        left_s = headers.left_s(call.deadline_s)
+        if left_s <= 0:
+            raise errors.RequestError(
+                errors.Code.DEADLINE_PASSED, "the deadline has passed"
+            )
+        out = headers.for_ingress(
+            call.exchange, left_s, call.snapshot.version.number
+        )
+        if call.streams:
+            out[headers.AWAIT] = headers.AWAIT_ADMISSION
+        lease = self._pools.take(endpoint.address, not call.idempotent)
+        try:
+            resp = lease.send(
+                call.exchange.method,
+                call.exchange.path,
+                out,
+                call.pieces() if call.streams else call.body or None,
+                min(SILENCE_S, left_s + 0.25),
+                await_continue=call.streams,
+            )
+            self._raise_typed(resp)
+            upstreams.relay_answer(
+                call.exchange, resp, headers.for_caller(resp.headers)
+            )
+        except upstreams.NotSentError as exc:
+            raise errors.RequestError(
+                errors.Code.PEER_UNAVAILABLE, str(exc), 1.0
+            ) from exc
+        except errors.BuckthornError as exc:
+            if exc.trait.not_run:
+                lease.release()
+            else:
+                lease.discard()
+            raise
+        except TimeoutError as exc:
+            lease.discard()
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_SILENT,
+                f"no byte from {endpoint.address} for {SILENCE_S} s",
+            ) from exc
+        except urllib3.exceptions.HTTPError as exc:
+            lease.discard()
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED, str(exc)
+            ) from exc
+        except OSError as exc:
+            lease.discard()
+            if call.exchange.started:
+                raise
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED, str(exc)
+            ) from exc
+        lease.release()
+
+    def _raise_typed(self, resp: Any) -> None:
+        code = resp.headers.get(servers.NOT_RUN_HEADER)
+        if code is None:
+            return
+        text = resp.read(decode_content=False).decode("utf-8", "replace")
+        retry_after = resp.headers.get("Retry-After")
+        raise errors.RequestError(
+            errors.code_of(code),
+            text.strip(),
+            float(retry_after) if retry_after else None,
+        )
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/gossiping.py
@@ -0,0 +1,229 @@
+"""Jobs and handlers of membership: gossip, probes, joining."""
+
+import time
+
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import gossip
+from buckthorn_core import ids
+from buckthorn_core import membership
+from buckthorn_core import messages
+from buckthorn_core import ports
+from buckthorn_core import records
+from buckthorn_daemon import state
+
+SYNC_PERIOD_S = 10.0
+SYNC_BUCKETS = 8
+JOIN_MIN_S = 0.2
+JOIN_MAX_S = 10.0
+REJOIN_S = 30.0
+JOIN_TRIES = 3
+CONTACTS_READ = 64
+INDIRECT_TIMEOUT_S = 1.0
+
+
+class Gossiper:
+    """Keeps the member table current."""
+
+    def __init__(self, shared: state.State, log: ports.LogService):
+        self._shared = shared
+        self._log = log
+        self._next_sync_s = 0.0
+        self._join_wait_s = JOIN_MIN_S
+
+    def probe(self) -> None:
+        """Exchanges gossip with the next member; this is also its probe."""
+        shared = self._shared
+        with shared.lock:
+            shared.membership.tick(time.monotonic())
+            target = shared.membership.next_probe()
+            if target is None:
+                return
+            message = messages.Gossip(
+                shared.table.changes(), shared.table.digest()
+            )
+        try:
+            envelope = shared.client.request(
+                target.peer_address,
+                message,
+                timeout_s=membership.PROBE_TIMEOUT_S,
+            )
+        except errors.PeerError:
+            self._probe_indirectly(target)
+            return
+        shared.note_peer(envelope)
+        if isinstance(envelope.payload, messages.GossipReply):
+            self._merge_reply(target, envelope.payload)
+
+    def on_gossip(
+        self, message: messages.Gossip, sender: ids.DaemonId
+    ) -> messages.GossipReply:
+        """Answers another daemon's gossip."""
+        shared = self._shared
+        with shared.lock:
+            shared.table.merge(message.changes)
+            about_sender = shared.membership.reply_entries(sender)
+            return messages.GossipReply(
+                [*about_sender, *shared.table.changes()],
+                shared.table.digest(),
+            )
+
+    def on_sync(self, message: messages.Sync) -> messages.SyncReply:
+        """Answers with the entries of buckets that differ."""
+        shared = self._shared
+        with shared.lock:
+            shared.table.merge(message.items)
+            if not message.digests:
+                buckets = list(range(gossip.BUCKETS))
+            else:
+                buckets = shared.table.differing(message.digests, SYNC_BUCKETS)
+            return messages.SyncReply(buckets, shared.table.in_buckets(buckets))
+
+    def on_probe_request(
+        self, message: messages.ProbeRequest
+    ) -> messages.ProbeReply:
+        """Probes a third daemon for another one."""
+        return messages.ProbeReply(self._is_alive(message.address))
+
+    def join(self) -> None:
+        """Merges tables with members of the region that are not known yet.
+
+        Daemons that start together form groups that don't know each other;
+        the contacts writer of each group keeps looking for the others.
+        """
+        shared = self._shared
+        with shared.lock:
+            known = {m.peer_address for m in shared.membership.members()}
+            alone = len(known) < 2
+            searching = alone or shared.holds("contacts_writer")
+        if not searching:
+            self._join_wait_s = REJOIN_S
+            return
+        unknown = [a for a in self._contact_addresses() if a not in known]
+        for address in unknown[:JOIN_TRIES]:
+            if self._merge_tables(address):
+                self._join_wait_s = JOIN_MIN_S
+                return
+        grown_s = self._join_wait_s * 2
+        self._join_wait_s = min(JOIN_MAX_S if alone else REJOIN_S, grown_s)
+
+    def join_wait_s(self) -> float:
+        """Returns the pause before the next attempt, with full jitter."""
+        return JOIN_MIN_S + self._shared.rng.random() * self._join_wait_s
+
+    def _merge_tables(self, address: ids.Address) -> bool:
+        shared = self._shared
+        with shared.lock:
+            own = list(shared.table.entries.values())
+        try:
+            envelope = shared.client.request(address, messages.Sync([], own))
+        except errors.PeerError:
+            return False
+        shared.note_peer(envelope)
+        if not isinstance(envelope.payload, messages.SyncReply):
+            return False
+        with shared.lock:
+            shared.table.merge(envelope.payload.items)
+        return True
+
+    def _merge_reply(
+        self, target: entries.Member, reply: messages.GossipReply
+    ) -> None:
+        shared = self._shared
+        now_s = time.monotonic()
+        with shared.lock:
+            shared.table.merge(reply.changes)
+            same = reply.digest == shared.table.digest()
+        if same or now_s < self._next_sync_s:
+            return
+        self._next_sync_s = now_s + SYNC_PERIOD_S
+        self._sync(target)
+
+    def _sync(self, target: entries.Member) -> None:
+        shared = self._shared
+        with shared.lock:
+            digests = shared.table.digests()
+        envelope = shared.client.request(
+            target.peer_address, messages.Sync(digests)
+        )
+        reply = envelope.payload
+        if not isinstance(reply, messages.SyncReply):
+            return
+        with shared.lock:
+            shared.table.merge(reply.items)
+            digests = shared.table.digests()
+            mine = shared.table.in_buckets(reply.buckets)
+        shared.client.request(target.peer_address, messages.Sync(digests, mine))
+
+    def _probe_indirectly(self, target: entries.Member) -> None:
+        shared = self._shared
+        with shared.lock:
+            helpers = shared.membership.indirect_probes(target.id)
+        message = messages.ProbeRequest(target.peer_address)
+        for helper in helpers:
+            try:
+                envelope = shared.client.request(
+                    helper.peer_address, message, timeout_s=INDIRECT_TIMEOUT_S
+                )
+            except errors.PeerError:
+                continue
+            reply = envelope.payload
+            if isinstance(reply, messages.ProbeReply) and reply.alive:
+                return
+        with shared.lock:
+            shared.membership.probe_failed(target.id)
+
+    def _is_alive(self, address: ids.Address) -> bool:
+        shared = self._shared
+        with shared.lock:
+            digest = shared.table.digest()
+        try:
+            shared.client.request(
+                address,
+                messages.Gossip([], digest),
+                timeout_s=membership.PROBE_TIMEOUT_S,
+            )
+        except errors.PeerError:
+            return False
+        return True
+
+    def _contact_addresses(self) -> list[ids.Address]:
+        cfg = self._shared.cfg
+        addresses = list(cfg.seeds)
+        try:
+            for contacts in read_contacts(self._log):
+                if contacts.region == cfg.region:
+                    addresses.extend(contacts.local_addresses)
+                else:
+                    self._add_region(contacts)
+        except errors.LogError:
+            self._shared.metrics.count("buckthorn_contacts_read_failures")
+        own = cfg.peer_address
+        return [a for a in dict.fromkeys(addresses) if a != own]
+
+    def _add_region(self, contacts: records.Contacts) -> None:
+        entry = entries.RegionContacts(
+            contacts.region, 0, 0, contacts.remote_addresses
+        )
+        with self._shared.lock:
+            self._shared.table.put(entry)
+
+
+def read_contacts(log: ports.LogService) -> list[records.Contacts]:
+    """Returns the latest contacts, the newest first.
+
+    Raises:
+        errors.LogError: The log can't be read now.
+    """
+    end = log.read(records.CONTACTS_STREAM, ids.Offset(0), 1).end
+    start = ids.Offset(max(0, end - CONTACTS_READ))
+    latest: list[records.Contacts] = []
+    for found in log.read(records.CONTACTS_STREAM, start).records:
+        try:
+            record = records.decode(found.data)
+        except errors.LogError:
+            continue
+        if isinstance(record, records.Contacts):
+            latest.append(record)
+    latest.reverse()
+    return latest
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/headers.py
@@ -0,0 +1,131 @@
+"""Headers that daemons add, read and remove."""
+
+from collections.abc import Mapping
+import time
+
+from buckthorn_adapters import servers
+from buckthorn_core import errors
+
+DEADLINE = "Buckthorn-Deadline-Ms"
+VERSION = "Buckthorn-Version"
+HOP = "Buckthorn-Hop"
+HOP_INGRESS = "ingress"
+AWAIT = "Buckthorn-Await"
+AWAIT_ADMISSION = "admission"
+EXPIRES = "Buckthorn-Expires"
+OPERATION_KEY = "Idempotency-Key"
+
+DEFAULT_DEADLINE_S = 5.0
+MAX_DEADLINE_S = 3_600.0
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_INTERNAL = frozenset(
+    {HOP.lower(), AWAIT.lower(), VERSION.lower(), EXPIRES.lower()}
+)
+
+
+def is_ingress(exchange: servers.Exchange) -> bool:
+    """Returns whether another daemon sent the request for the upstream."""
+    return exchange.headers.get(HOP.lower()) == HOP_INGRESS
+
+
+def awaits_admission(exchange: servers.Exchange) -> bool:
+    """Returns whether the body follows only after an interim answer."""
+    return exchange.headers.get(AWAIT.lower()) == AWAIT_ADMISSION
+
+
+def deadline_s(
+    exchange: servers.Exchange,
+    now_s: float,
+    default_s: float = DEFAULT_DEADLINE_S,
+) -> float:
+    """Returns the deadline of a request in local monotonic seconds.
+
+    Raises:
+        errors.RequestError: The header is malformed.
+    """
+    text = exchange.headers.get(DEADLINE.lower())
+    if text is None:
+        return now_s + default_s
+    if not text.isdecimal():
+        raise errors.RequestError(
+            errors.Code.BAD_REQUEST, f"{DEADLINE} is not a number of ms"
+        )
+    return now_s + min(MAX_DEADLINE_S, int(text) / 1000)
+
+
+def check_expiry(exchange: servers.Exchange, wall_s: float) -> None:
+    """Refuses a request whose claim has expired.
+
+    Raises:
+        errors.RequestError: The claim has expired, or the header is malformed.
+    """
+    text = exchange.headers.get(EXPIRES.lower())
+    if text is None:
+        return
+    if not text.isdecimal():
+        raise errors.RequestError(
+            errors.Code.BAD_REQUEST, f"{EXPIRES} is not a time in ms"
+        )
+    if wall_s * 1000 >= int(text):
+        raise errors.RequestError(
+            errors.Code.CLAIM_EXPIRED, "the claim of the key has expired"
+        )
+
+
+def _end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
+    named = {
+        name.strip().lower()
+        for name in headers.get("connection", "").split(",")
+    }
+    return {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
+    }
+
+
+def for_upstream(exchange: servers.Exchange, left_s: float) -> dict[str, str]:
+    """Returns the headers of a request to the upstream."""
+    found = {
+        name: value
+        for name, value in _end_to_end(exchange.headers).items()
+        if name not in _INTERNAL
+    }
+    found[DEADLINE.lower()] = str(max(1, int(left_s * 1000)))
+    return found
+
+
+def for_ingress(
+    exchange: servers.Exchange, left_s: float, version: int
+) -> dict[str, str]:
+    """Returns the headers of a request to the daemon of an upstream."""
+    found = for_upstream(exchange, left_s)
+    found[HOP] = HOP_INGRESS
+    found[VERSION] = str(version)
+    return found
+
+
+def for_caller(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Returns the headers of an answer as they are passed on."""
+    # Date and Server are set anew by the server if they are missing.
+    return list(_end_to_end({k.lower(): v for k, v in headers.items()}).items())
+
+
+def left_s(deadline: float) -> float:
+    """Returns the time left until a deadline, in seconds."""
+    return deadline - time.monotonic()
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -0,0 +1,241 @@
+"""Requests for the upstream beside the daemon."""
+
+import threading
+import time
+from typing import Any
+
+import loguru
+import msgspec
+import urllib3
+
+from buckthorn_adapters import servers
+from buckthorn_adapters import upstreams
+from buckthorn_core import admission
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_daemon import headers
+from buckthorn_daemon import state
+
+ANNOUNCE_TIMEOUT_S = 3.0
+CONTINUE_PERIOD_S = 1.0
+MIN_TIMEOUT_S = 0.001
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an upstream tells the daemon beside it, every second.
+
+    Attributes:
+        service: Its service.
+        port: Its HTTP port on this host.
+        state: Its state.
+        slots: Requests that it runs at once.
+        connections: Connections that it takes.
+    """
+
+    service: ids.ServiceName
+    port: int
+    state: entries.UpstreamState
+    slots: int
+    connections: int
+
+
+class Ingress:
+    """Admits requests and passes them to the upstream."""
+
+    def __init__(self, shared: state.State):
+        self._shared = shared
+        self._pools = upstreams.Pools()
+        self._lock = threading.Lock()
+        self._admission = admission.Admission(admission.Limits(1, 1))
+        self._waiting: dict[int, threading.Event] = {}
+        self._upstream: Announcement | None = None
+        self._announced_s = state.NEVER_S
+        self._in_progress: set[servers.Exchange] = set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request runs or waits."""
+        return self._admission.idle
+
+    def close(self) -> None:
+        """Closes the connections to the upstream."""
+        self._pools.close()
+
+    def stop_admitting(self) -> None:
+        """Refuses all new requests from now on."""
+        with self._lock:
+            self._admission.closed = True
+
+    def announce(self, upstream: Announcement) -> None:
+        """Takes an announcement of the upstream."""
+        with self._lock:
+            self._announced_s = time.monotonic()
+            if upstream == self._upstream:
+                return
+            self._upstream = upstream
+            self._admission.set_limits(self._limits(upstream))
+        self._publish(upstream)
+
+    def check_upstream(self) -> None:
+        """Notes that the upstream is gone when it stops announcing."""
+        with self._lock:
+            upstream = self._upstream
+            quiet_s = time.monotonic() - self._announced_s
+            if upstream is None or quiet_s < ANNOUNCE_TIMEOUT_S:
+                return
+            self._upstream = None
+        _logger.warning("upstream_gone", service=upstream.service)
+        self._publish(
+            msgspec.structs.replace(upstream, state=entries.UpstreamState.DOWN)
+        )
+
+    def send_continues(self) -> None:
+        """Shows the other daemons that their requests are being worked on."""
+        for exchange in list(self._in_progress):
+            try:
+                exchange.send_continue()
+            except OSError:
+                self._in_progress.discard(exchange)
+
+    def handle(self, exchange: servers.Exchange) -> None:
+        """Admits a request and relays it.
+
+        Raises:
+            errors.RequestError: The request is refused or has failed.
+        """
+        deadline_s = headers.deadline_s(exchange, time.monotonic())
+        upstream = self._check(exchange)
+        with self._lock:
+            ticket = self._admission.enter(time.monotonic(), deadline_s)
+            running = self._admission.is_running(ticket)
+            ready = threading.Event()
+            if not running:
+                self._waiting[ticket.number] = ready
+        started_s: float | None = None
+        self._in_progress.add(exchange)
+        try:
+            if not running:
+                self._wait(ticket, ready)
+            started_s = time.monotonic()
+            self._relay(exchange, upstream, deadline_s)
+        finally:
+            self._in_progress.discard(exchange)
+            self._leave(ticket, started_s)
+
+    def _check(self, exchange: servers.Exchange) -> Announcement:
+        upstream = self._upstream
+        if upstream is None:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM, "there is no upstream here", 1.0
+            )
+        if upstream.state is entries.UpstreamState.DRAINING:
+            raise errors.RequestError(
+                errors.Code.DRAINING, "the upstream is leaving", 1.0
+            )
+        current = self._shared.holder.current
+        if current and self._shared.cfg.site in current.view.draining_sites:
+            raise errors.RequestError(
+                errors.Code.DRAINING, "the site is draining", 1.0
+            )
+        headers.check_expiry(exchange, time.time())
+        return upstream
+
+    def _limits(self, upstream: Announcement) -> admission.Limits:
+        slots, connections = upstream.slots, upstream.connections
+        current = self._shared.holder.current
+        service = current and current.view.services.get(upstream.service)
+        if service:
+            slots = min(slots, service.slots)
+            connections = min(connections, service.connections)
+        return admission.Limits(max(1, slots), max(1, connections))
+
+    def _publish(self, upstream: Announcement) -> None:
+        with self._shared.lock:
+            self._shared.membership.update_me(
+                service=upstream.service,
+                upstream_state=upstream.state,
+                slots=upstream.slots,
+                connections=upstream.connections,
+            )
+
+    def _wait(self, ticket: admission.Ticket, ready: threading.Event) -> None:
+        remaining_s = ticket.deadline_s - time.monotonic()
+        if ready.wait(max(0.0, remaining_s)):
+            return
+        with self._lock:
+            if self._admission.is_running(ticket):
+                return
+        raise errors.RequestError(
+            errors.Code.DEADLINE_PASSED, "no slot became free in time", 0.1
+        )
+
+    def _leave(self, ticket: admission.Ticket, started_s: float | None) -> None:
+        ran_s = None if started_s is None else time.monotonic() - started_s
+        with self._lock:
+            self._waiting.pop(ticket.number, None)
+            for started in self._admission.leave(ticket, ran_s):
+                event = self._waiting.pop(started.number, None)
+                if event is not None:
+                    event.set()
+
+    def _relay(
+        self,
+        exchange: servers.Exchange,
+        upstream: Announcement,
+        deadline_s: float,
+    ) -> None:
+        if headers.awaits_admission(exchange):
+            exchange.send_continue()
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise errors.RequestError(
+                errors.Code.DEADLINE_PASSED, "the deadline has passed"
+            )
+        address = ids.Address(f"127.0.0.1:{upstream.port}")
+        lease = self._pools.take(address, proven=True)
+        body = exchange.body.pieces() if exchange.body.remaining else None
+        try:
+            resp = lease.send(
+                exchange.method,
+                exchange.path,
+                headers.for_upstream(exchange, left_s),
+                body,
+                max(MIN_TIMEOUT_S, left_s),
+            )
+            self._check_shed(resp, lease)
+            upstreams.relay_answer(
+                exchange, resp, headers.for_caller(resp.headers)
+            )
+        except upstreams.NotSentError as exc:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM, str(exc), 1.0
+            ) from exc
+        except errors.BuckthornError:
+            lease.discard()
+            raise
+        except TimeoutError as exc:
+            # Closing the connection cancels the request at the upstream.
+            lease.discard()
+            raise errors.RequestError(
+                errors.Code.TIMED_OUT, "the deadline passed while it ran"
+            ) from exc
+        except (OSError, urllib3.exceptions.HTTPError) as exc:
+            lease.discard()
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED, str(exc)
+            ) from exc
+        lease.release()
+
+    def _check_shed(self, resp: Any, lease: upstreams.Lease) -> None:
+        if servers.NOT_RUN_HEADER not in resp.headers:
+            return
+        retry_after = resp.headers.get("Retry-After", "1")
+        resp.drain_conn()
+        raise errors.RequestError(
+            errors.Code.UPSTREAM_SHED,
+            "the upstream sheds load",
+            float(retry_after) if retry_after.isdecimal() else 1.0,
+        )
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/jobs.py
@@ -0,0 +1,120 @@
+"""Periodic jobs on a small pool of threads."""
+
+from collections.abc import Callable
+from concurrent import futures
+import random
+import threading
+import time
+
+import loguru
+
+from buckthorn_core import errors
+
+JITTER = 0.2
+TICK_S = 0.02
+WORKERS = 6
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Job:
+    """A function that runs again and again, never twice at once.
+
+    Attributes:
+        name: Name of the job, for logs.
+        failures: Failed runs since the last good one.
+    """
+
+    def __init__(
+        self, name: str, period_s: Callable[[], float], run: Callable[[], None]
+    ):
+        self.name = name
+        self.failures = 0
+        self._period_s = period_s
+        self._run = run
+        self._running = False
+        self._wanted = False
+        self._next_s = 0.0
+
+    def wake(self) -> None:
+        """Makes the job run as soon as it can."""
+        self._wanted = True
+
+    def due(self, now_s: float) -> bool:
+        """Returns whether the job should start now."""
+        return not self._running and (self._wanted or now_s >= self._next_s)
+
+    def begin(self) -> None:
+        """Marks the job as running."""
+        self._running = True
+        self._wanted = False
+
+    def run(self) -> None:
+        """Runs the job and plans the next run."""
+        try:
+            self._run()
+            self.failures = 0
+        except errors.BuckthornError as exc:
+            self.failures += 1
+            if self.failures == 1:
+                _logger.warning("job_failing", job=self.name, error=str(exc))
+        except Exception:
+            self.failures += 1
+            _logger.exception("job_crashed")
+        spread = 1.0 + JITTER * (2.0 * random.random() - 1.0)
+        self._next_s = time.monotonic() + self._period_s() * spread
+        self._running = False
+
+
+class Scheduler:
+    """Runs jobs when they are due."""
+
+    def __init__(self) -> None:
+        self._jobs: list[Job] = []
+        self._pool = futures.ThreadPoolExecutor(WORKERS, "job")
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._loop, name="scheduler", daemon=True
+        )
+
+    def add(
+        self,
+        name: str,
+        period_s: float | Callable[[], float],
+        run: Callable[[], None],
+    ) -> Job:
+        """Adds a job; the period may depend on the state."""
+        if callable(period_s):
+            period = period_s
+        else:
+            fixed_s = period_s
+
+            def period() -> float:
+                return fixed_s
+
+        job = Job(name, period, run)
+        self._jobs.append(job)
+        return job
+
+    def submit(self, run: Callable[[], None]) -> None:
+        """Runs a function once."""
+        if not self._stop.is_set():
+            self._pool.submit(run)
+
+    def start(self) -> None:
+        """Starts to run jobs."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops; jobs that run are not waited for."""
+        self._stop.set()
+        self._thread.join(timeout=1.0)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _loop(self) -> None:
+        while not self._stop.wait(TICK_S):
+            now_s = time.monotonic()
+            for job in self._jobs:
+                if job.due(now_s):
+                    job.begin()
+                    self._pool.submit(job.run)
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -0,0 +1,212 @@
+"""Jobs and handlers that distribute versions and regional summaries."""
+
+import time
+
+from buckthorn_core import acks
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import messages
+from buckthorn_core import relays
+from buckthorn_core import traffic
+from buckthorn_daemon import reading
+from buckthorn_daemon import state
+
+REPORT_S = 2.0
+FAST_REPORT_S = 0.2
+BUSY_RETRY_MS = 100
+MAX_CONTACT_TRIES = 3
+
+
+class Distributor:
+    """Moves versions down the tree and acknowledgements up."""
+
+    def __init__(self, shared: state.State, reader: reading.LogReader):
+        self._shared = shared
+        self._reader = reader
+        self._region_try = 0
+        self._remote_children: dict[ids.DaemonId, ids.Address] = {}
+
+    # Upwards: this daemon and its parent.
+
+    def report_wait_s(self) -> float:
+        """Returns the pause between reports; short until ready."""
+        return REPORT_S if self._shared.holder.ready else FAST_REPORT_S
+
+    def report(self) -> None:
+        """Reports to the parent, and pulls if the parent has more.
+
+        Raises:
+            errors.PeerError: The parent did not answer.
+        """
+        shared = self._shared
+        shared.update_floor()
+        parent = self._parent()
+        if parent is None:
+            return
+        address, scope = parent
+        with shared.lock:
+            total = shared.acks.total(shared.ready_version(), time.monotonic())
+            message = messages.Report(
+                shared.holder.version, total.counts, total.laggards
+            )
+        sent_s = time.monotonic()
+        try:
+            envelope = shared.client.request(address, message, scope)
+        except errors.PeerError:
+            # Another daemon of the log's region may be reachable.
+            self._region_try += 1
+            raise
+        if scope is traffic.Scope.REGION:
+            self._reader.upstream_region_seen_s = time.monotonic()
+        shared.note_peer(envelope)
+        reply = envelope.payload
+        if not isinstance(reply, messages.ReportReply):
+            return
+        if reply.version.number > shared.holder.version.number:
+            self.pull(address, scope)
+        if (
+            reply.confirmed_ms >= 0
+            and shared.holder.version.number >= reply.version.number
+        ):
+            shared.confirm(sent_s - reply.confirmed_ms / 1000)
+        shared.update_floor()
+
+    def pull(self, address: ids.Address, scope: traffic.Scope) -> None:
+        """Pulls the current version of a peer and puts it in force.
+
+        Raises:
+            errors.PeerError: The peer did not answer or sent damaged data.
+            errors.ConfigError: The version is not whole and closed.
+        """
+        shared = self._shared
+        held = shared.holder.version
+        reply = self._pull_once(address, scope, held)
+        if reply is None or reply.version.number <= held.number:
+            return
+        raw = self._unpack(reply)
+        if raw is None:
+            reply = self._pull_once(address, scope, meshes.NO_VERSION)
+            raw = None if reply is None else self._unpack(reply)
+        if reply is not None and raw is not None:
+            shared.apply(reply.version, raw)
+
+    def _pull_once(
+        self, address: ids.Address, scope: traffic.Scope, held: meshes.VersionId
+    ) -> messages.PullReply | None:
+        shared = self._shared
+        envelope = shared.client.request(address, messages.Pull(held), scope)
+        reply = envelope.payload
+        if not isinstance(reply, messages.PullReply):
+            return None
+        if reply.result == relays.PullResult.BUSY.value:
+            time.sleep(shared.rng.random() * reply.retry_after_ms / 1000)
+            return None
+        return reply
+
+    def _unpack(self, reply: messages.PullReply) -> bytes | None:
+        with self._shared.lock:
+            return self._shared.relay.unpack(
+                relays.PullAnswer(
+                    relays.PullResult(reply.result),
+                    reply.version,
+                    reply.based_on,
+                    reply.data,
+                )
+            )
+
+    def _parent(self) -> tuple[ids.Address, traffic.Scope] | None:
+        shared = self._shared
+        with shared.lock:
+            parent = shared.tree().parent(shared.cfg.daemon_id)
+            if parent is not None:
+                member = shared.membership.member(parent)
+                if member is None:
+                    return None
+                return member.peer_address, traffic.Scope.LOCAL
+            if shared.cfg.region == shared.cfg.log_region:
+                return None
+            contacts = shared.table.entries.get(f"r/{shared.cfg.log_region}")
+        if not isinstance(contacts, entries.RegionContacts):
+            return None
+        if not contacts.addresses:
+            return None
+        index = self._region_try % min(
+            MAX_CONTACT_TRIES, len(contacts.addresses)
+        )
+        return contacts.addresses[index], traffic.Scope.REGION
+
+    # Downwards: this daemon and its children.
+
+    def announce(self) -> None:
+        """Tells the children of the version in force."""
+        shared = self._shared
+        with shared.lock:
+            version = shared.holder.version
+            children = shared.relay.children(time.monotonic())
+            targets = [self._child_target(child) for child in children]
+        message = messages.Announce(version)
+        for target in targets:
+            if target is None:
+                continue
+            address, scope = target
+            try:
+                shared.client.request(address, message, scope, timeout_s=0.5)
+            except errors.PeerError:
+                # The child finds out with its next report.
+                shared.metrics.count("buckthorn_announce_failures")
+
+    def _child_target(
+        self, child: ids.DaemonId
+    ) -> tuple[ids.Address, traffic.Scope] | None:
+        member = self._shared.membership.member(child)
+        if member is not None:
+            return member.peer_address, traffic.Scope.LOCAL
+        address = self._remote_children.get(child)
+        if address is None:
+            return None
+        return address, traffic.Scope.REGION
+
+    def on_report(
+        self, message: messages.Report, envelope: messages.Envelope
+    ) -> messages.ReportReply:
+        """Takes a child's report."""
+        shared = self._shared
+        now_s = time.monotonic()
+        with shared.lock:
+            shared.relay.add_child(envelope.sender, now_s)
+            if envelope.region != shared.cfg.region:
+                self._remote_children[envelope.sender] = envelope.address
+            shared.acks.add(
+                envelope.sender,
+                acks.Tally(message.counts, message.laggards),
+                now_s,
+            )
+            age_ms = -1
+            if shared.confirmed_s != state.NEVER_S:
+                age_ms = int((now_s - shared.confirmed_s) * 1000)
+            return messages.ReportReply(shared.holder.version, age_ms)
+
+    def on_pull(self, message: messages.Pull) -> messages.PullReply:
+        """Answers a pull."""
+        shared = self._shared
+        with shared.lock:
+            answer = shared.relay.pull(message.held)
+        shared.metrics.count("buckthorn_pulls", result=answer.result.value)
+        return messages.PullReply(
+            answer.result.value,
+            answer.version,
+            answer.based_on,
+            answer.data,
+            BUSY_RETRY_MS if answer.result is relays.PullResult.BUSY else 0,
+        )
+
+    def status(self) -> messages.StatusReply:
+        """Returns the versions in force on this daemon and below."""
+        shared = self._shared
+        with shared.lock:
+            total = shared.acks.total(shared.ready_version(), time.monotonic())
+            return messages.StatusReply(
+                shared.holder.version, total.counts, total.laggards
+            )
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/settings.py
@@ -0,0 +1,187 @@
+"""Settings of the daemon, with all defaults, and their checks."""
+
+from collections.abc import Iterator
+import ipaddress
+import pathlib
+
+import msgspec
+
+from buckthorn_core import choices
+from buckthorn_core import findings
+from buckthorn_core import ids
+
+MIN_KEY_CHARS = 16
+
+
+class Settings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Settings of a daemon. Addresses are `IP:port`.
+
+    Attributes:
+        daemon_id: Unique name of the daemon.
+        region: Region of the host.
+        site: Site of the host.
+        peer_listen: Where to listen for other daemons.
+        http_listen: Where to listen for requests.
+        admin_listen: Where to listen for announcements and status; keep it
+            on the host.
+        peer_address: Where daemons of the region reach `peer_listen`;
+            empty means at `peer_listen`.
+        remote_peer_address: The same for daemons of other regions; empty
+            means at `peer_address`.
+        http_address: Where daemons of the region reach `http_listen`;
+            empty means at `http_listen`.
+        remote_http_address: The same for daemons of other regions; empty
+            means at `http_address`.
+        log_url: URL of the platform's log service.
+        log_region: Region of the log service.
+        seeds: Peer addresses to join at when the log can't be read.
+        publish_key: Shared key that signs publications.
+        peer_key: Shared key that authenticates daemons.
+        http_threads: Requests that are served at once.
+        choice_policy: Policy that chooses upstreams.
+        log_poll_ms: Pause between reads of the log, in ms.
+        checkpoint_s: Longest time between checkpoints, in seconds; less
+            than half of the log's retention.
+        drain_min_s: Time for others to learn of a planned stop, in seconds.
+        structured_logs: Whether logs are JSON lines.
+        log_level: Lowest level that is logged.
+    """
+
+    daemon_id: ids.DaemonId
+    region: ids.RegionName
+    site: ids.SiteName
+    peer_listen: ids.Address
+    http_listen: ids.Address
+    admin_listen: ids.Address
+    peer_address: ids.Address = ids.Address("")
+    remote_peer_address: ids.Address = ids.Address("")
+    http_address: ids.Address = ids.Address("")
+    remote_http_address: ids.Address = ids.Address("")
+    log_url: str
+    log_region: ids.RegionName
+    seeds: list[ids.Address] = []
+    publish_key: str
+    peer_key: str
+    http_threads: int = 48
+    choice_policy: str = choices.DEFAULT_POLICY
+    log_poll_ms: int = 200
+    checkpoint_s: float = 600.0
+    drain_min_s: float = 3.0
+    structured_logs: bool = False
+    log_level: str = "INFO"
+
+
+_ADDRESSES = (
+    "peer_listen",
+    "http_listen",
+    "admin_listen",
+    "peer_address",
+    "remote_peer_address",
+    "http_address",
+    "remote_http_address",
+)
+_RANGES: dict[str, tuple[float, float]] = {
+    "http_threads": (2, 1_024),
+    "log_poll_ms": (20, 60_000),
+    "checkpoint_s": (1, 86_400),
+    "drain_min_s": (0, 600),
+}
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) < 65_536
+    except ValueError:
+        return False
+
+
+def check(cfg: Settings, file: str) -> Iterator[findings.Finding]:
+    """Yields what is wrong with settings of the right types."""
+    for name in _ADDRESSES:
+        text = getattr(cfg, name)
+        if text and not _is_address(text):
+            yield findings.Finding(
+                file, (name,), "bad-address", f"{text!r} is not IP:port"
+            )
+    for index, seed in enumerate(cfg.seeds):
+        if not _is_address(seed):
+            yield findings.Finding(
+                file,
+                ("seeds", index),
+                "bad-address",
+                f"{seed!r} is not IP:port",
+            )
+    for name, (least, most) in _RANGES.items():
+        value = getattr(cfg, name)
+        if not least <= value <= most:
+            yield findings.Finding(
+                file,
+                (name,),
+                "out-of-range",
+                f"{value} is not between {least} and {most}",
+            )
+    for name in ("publish_key", "peer_key"):
+        if len(getattr(cfg, name)) < MIN_KEY_CHARS:
+            yield findings.Finding(
+                file, (name,), "weak-key", f"under {MIN_KEY_CHARS} characters"
+            )
+    yield from _check_names(cfg, file)
+
+
+def _check_names(cfg: Settings, file: str) -> Iterator[findings.Finding]:
+    if not cfg.daemon_id:
+        yield findings.Finding(
+            file, ("daemon_id",), "empty", "the daemon needs an id"
+        )
+    if cfg.choice_policy not in choices.names():
+        yield findings.Finding(
+            file,
+            ("choice_policy",),
+            "unknown-name",
+            f"the policies are {', '.join(choices.names())}",
+        )
+    if cfg.log_level not in _LEVELS:
+        yield findings.Finding(
+            file,
+            ("log_level",),
+            "unknown-name",
+            f"the levels are {', '.join(_LEVELS)}",
+        )
+    if not cfg.log_url.startswith("http://"):
+        yield findings.Finding(
+            file, ("log_url",), "bad-url", "the URL must start with http://"
+        )
+
+
+def _fill(cfg: Settings) -> Settings:
+    peer = cfg.peer_address or cfg.peer_listen
+    http = cfg.http_address or cfg.http_listen
+    return msgspec.structs.replace(
+        cfg,
+        peer_address=peer,
+        remote_peer_address=cfg.remote_peer_address or peer,
+        http_address=http,
+        remote_http_address=cfg.remote_http_address or http,
+    )
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Loads and checks settings.
+
+    Raises:
+        findings.FindingsError: With all findings, each with its place.
+    """
+    # Imported here so that its memory is used only while settings load.
+    from buckthorn_adapters import jsonc
+
+    document = jsonc.load(path)
+    cfg = document.decode(Settings)
+    found = [document.locate(f) for f in check(cfg, str(path))]
+    if found:
+        raise findings.FindingsError(found)
+    return _fill(cfg)
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -0,0 +1,162 @@
+"""State that the parts of a daemon share, guarded by one lock."""
+
+from collections.abc import Callable
+import random
+import threading
+import time
+
+from buckthorn_adapters import compressors
+from buckthorn_adapters import metrics
+from buckthorn_adapters import peers
+from buckthorn_core import acceptance
+from buckthorn_core import acks
+from buckthorn_core import endpoints
+from buckthorn_core import entries
+from buckthorn_core import floors
+from buckthorn_core import gossip
+from buckthorn_core import ids
+from buckthorn_core import membership
+from buckthorn_core import meshes
+from buckthorn_core import messages
+from buckthorn_core import relays
+from buckthorn_core import roles
+from buckthorn_core import snapshots
+from buckthorn_core import traffic
+from buckthorn_daemon import settings
+
+NEVER_S = float("-inf")
+
+
+class State:
+    """All state of a daemon.
+
+    Attributes:
+        cfg: The settings.
+        lock: Guards the core objects below.
+        confirmed_s: When a log reader last found the version in force to be
+            the latest; local monotonic time.
+        on_version: Called after another version came in force.
+    """
+
+    def __init__(self, cfg: settings.Settings):
+        self.cfg = cfg
+        self.lock = threading.RLock()
+        self.rng = random.Random()
+        self.started_s = time.monotonic()
+        self.incarnation = time.time_ns() // 1_000_000
+        self.control = traffic.ControlTraffic()
+        self.metrics = metrics.Metrics(self.control)
+        self.table = gossip.GossipTable()
+        self.membership = membership.Membership(
+            self._own_record(), self.table, self.rng
+        )
+        self.endpoints = endpoints.EndpointIndex(cfg.region, self.table)
+        self.relay = relays.Relay(compressors.ZstdDeltaCodec())
+        self.acks = acks.AckTree(cfg.daemon_id)
+        self.holder = snapshots.SnapshotHolder()
+        self.floors = floors.FloorSearch(cfg.site, self.started_s)
+        self.acceptor = acceptance.Acceptor(
+            cfg.publish_key.encode(), cfg.peer_key.encode()
+        )
+        self.confirmed_s = NEVER_S
+        self.on_version: list[Callable[[], None]] = []
+        self.identity = peers.Identity(
+            daemon=cfg.daemon_id,
+            address=cfg.peer_address,
+            remote_address=cfg.remote_peer_address,
+            region=cfg.region,
+            site=cfg.site,
+            key=cfg.peer_key.encode(),
+            version=self.ready_version,
+        )
+        self.client = peers.PeerClient(self.identity, self.control)
+        self._tree: roles.Tree | None = None
+        self._tree_members: list[ids.DaemonId] = []
+
+    def _own_record(self) -> entries.Member:
+        cfg = self.cfg
+        return entries.Member(
+            id=cfg.daemon_id,
+            incarnation=self.incarnation,
+            revision=0,
+            state=entries.MemberState.STARTING,
+            region=cfg.region,
+            site=cfg.site,
+            peer_address=cfg.peer_address,
+            remote_peer_address=cfg.remote_peer_address,
+            http_address=cfg.http_address,
+            remote_http_address=cfg.remote_http_address,
+        )
+
+    def ready_version(self) -> ids.VersionNumber:
+        """Returns the version in force, or 0 while callers are refused."""
+        if not self.holder.ready:
+            return ids.VersionNumber(0)
+        return self.holder.version.number
+
+    def tree(self) -> roles.Tree:
+        """Returns the distribution tree of the live members."""
+        members = self.membership.eligible()
+        if self._tree is None or self._tree_members != members:
+            self._tree = roles.Tree(members)
+            self._tree_members = members
+        return self._tree
+
+    def holds(self, role: str) -> bool:
+        """Returns whether this daemon holds a role in its region."""
+        members = self.membership.eligible()
+        return self.cfg.daemon_id in roles.holders(role, members)
+
+    def is_first_relay(self) -> bool:
+        """Returns whether this daemon is the first relay of its region."""
+        return self.tree().relays[:1] == [self.cfg.daemon_id]
+
+    def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
+        """Puts a version in force.
+
+        Raises:
+            errors.ConfigError: The version is not whole and closed.
+        """
+        snapshot = snapshots.build(version, raw, self.cfg.site)
+        with self.lock:
+            if not self.holder.apply(snapshot):
+                return False
+            self.relay.put(version, raw)
+        self.metrics.set("buckthorn_version", version.number)
+        for listener in self.on_version:
+            listener()
+        return True
+
+    def note_peer(self, envelope: messages.Envelope) -> None:
+        """Learns from the version that a message carries."""
+        with self.lock:
+            if envelope.version > 0:
+                self.floors.add_answer(
+                    envelope.sender, envelope.site, envelope.version
+                )
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Notes that the version in force was the log's latest."""
+        with self.lock:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
+            self.floors.add_confirmation(self.confirmed_s)
+
+    def update_floor(self) -> None:
+        """Confirms the floor once enough is known."""
+        with self.lock:
+            if self.holder.floor_known:
+                return
+            reachable = sum(
+                1
+                for member in self.membership.members()
+                if member.site == self.cfg.site
+                and member.id != self.cfg.daemon_id
+                and member.state is entries.MemberState.UP
+            )
+            floor = self.floors.floor(reachable)
+            if floor is None:
+                return
+            self.holder.raise_floor(floor)
+            if self.holder.version.number >= max(1, floor):
+                self.holder.confirm_floor()
+                self.membership.update_me(state=entries.MemberState.UP)
--- /dev/null
+++ b/packages/standins/buckthorn_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, and tools that measure against them."""
