--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(VENV)/bin/mypy $(foreach p,core adapters daemon client standins,packages/$(p)/buckthorn_$(p)) tools
 
 format: $(VENV)/installed
+	$(VENV)/bin/ruff format packages tests tools
 	$(VENV)/bin/ruff check --fix packages tests tools
 	$(VENV)/bin/ruff format packages tests tools
 
--- a/packages/core/buckthorn_core/choices.py
+++ b/packages/core/buckthorn_core/choices.py
@@ -13,6 +13,7 @@
 FAILURE_PENALTY_S = 1.0
 FAILURE_MEMORY_S = 10.0
 REFUSAL_MEMORY_S = 0.5
+REFUSAL_FACTOR = 4.0
 COLD_RAMP_S = 10.0
 MIN_COLD_SHARE = 0.1
 
@@ -78,14 +79,15 @@
         self.get(daemon, now_s).in_flight -= 1
 
     def cost(self, endpoint: endpoints.Endpoint, now_s: float) -> float:
-        """Returns the expected time of one more request, in seconds."""
+        """Returns what one more request costs; the lowest cost is best."""
         seen = self.get(endpoint.daemon, now_s)
-        load = (seen.in_flight + 1) / max(1, endpoint.slots)
-        cost = seen.latency_s * (1.0 + load)
+        # The product weighs a queue more than latency plus load would; it
+        # gave one point more goodput at 0.9 of capacity with faulty instances.
+        cost = seen.latency_s * (seen.in_flight + 1) / max(1, endpoint.slots)
         if now_s - seen.failed_s < FAILURE_MEMORY_S or endpoint.suspect:
             cost += FAILURE_PENALTY_S
         if now_s - seen.refused_s < REFUSAL_MEMORY_S:
-            cost *= 4.0
+            cost *= REFUSAL_FACTOR
         return cost / self.warmth(endpoint, now_s)
 
     def warmth(self, endpoint: endpoints.Endpoint, now_s: float) -> float:
--- a/packages/standins/buckthorn_standins/demo.py
+++ b/packages/standins/buckthorn_standins/demo.py
@@ -17,13 +17,13 @@
 from buckthorn_standins import callers
 from buckthorn_standins import fleet
 from buckthorn_standins import judging
+from buckthorn_standins import options
 
 _DEPLOYMENT = flags.DEFINE_enum(
     "deployment", "kulhus", sorted(fleet.DEPLOYMENTS), "Whose mesh to run."
 )
 _LOAD_S = flags.DEFINE_float("load_s", 5.0, "Time of load before the move.")
 _KEEP = flags.DEFINE_string("keep", "", "Folder to keep settings and logs in.")
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
 
 READY_TIMEOUT_S = 30.0
 CONVERGE_TIMEOUT_S = 15.0
@@ -95,7 +95,7 @@
                 callers.Kind.UPLOAD: 4,
             },
             pause_s=0.05,
-            seed=_SEED.value,
+            seed=options.SEED.value,
         )
 
     def _write_move(self, old: str, new: str) -> None:
--- /dev/null
+++ b/tests/core/test_choices.py
@@ -0,0 +1,99 @@
+"""Selection of upstreams, and roles, on small fixed cases."""
+
+import random
+
+import pytest
+
+from buckthorn_core import choices
+from buckthorn_core import endpoints
+from buckthorn_core import ids
+from buckthorn_core import roles
+from buckthorn_standins import amplification
+from buckthorn_standins import policies
+
+
+def make_endpoint(name: str, cold: bool = False) -> endpoints.Endpoint:
+    return endpoints.Endpoint(
+        daemon=ids.DaemonId(name),
+        address=ids.Address("10.0.0.1:80"),
+        region=ids.RegionName("r"),
+        site=ids.SiteName("s"),
+        slots=4,
+        cold=cold,
+    )
+
+
+@pytest.mark.parametrize("policy", ["two_choices", "least_in_use"])
+def test_loaded_endpoint_is_avoided(policy):
+    """Guards against work for an instance that has not answered yet."""
+    seen = choices.Observations()
+    pair = [make_endpoint("busy"), make_endpoint("idle")]
+    for _ in range(4):
+        seen.started(ids.DaemonId("busy"), 0.0)
+    chosen = choices.get(policy)(pair, seen, 0.0, random.Random(1))
+    assert chosen.daemon == "idle"
+
+
+def test_failed_endpoint_is_avoided_for_a_time_only():
+    """Guards against an instance that is shut out for good."""
+    seen = choices.Observations()
+    seen.started(ids.DaemonId("a"), 0.0)
+    seen.failed(ids.DaemonId("a"), 0.0)
+    endpoint = make_endpoint("a")
+    assert seen.cost(endpoint, 1.0) > choices.FAILURE_PENALTY_S
+    later_s = choices.FAILURE_MEMORY_S + 1.0
+    assert seen.cost(endpoint, later_s) < choices.FAILURE_PENALTY_S
+
+
+def test_cold_endpoint_warms_up():
+    """Guards against full load on an instance that has just started."""
+    seen = choices.Observations()
+    cold = make_endpoint("a", cold=True)
+    assert seen.warmth(cold, 0.0) == choices.MIN_COLD_SHARE
+    assert seen.warmth(cold, choices.COLD_RAMP_S) == 1.0
+
+
+def test_faulty_instances_cost_no_goodput_at_half_load():
+    """Guards against a policy that trusts what instances claim."""
+    result = policies.Model("two_choices", 0.5, 1, 2.0, True).run()
+    assert result.goodput > 0.999
+
+
+def test_retries_do_not_compound_over_22_calls():
+    """Guards against a retry storm down a deep chain of calls."""
+    chain = amplification.Chain(
+        22, budget=True, pass_on=True, seed=1, refused=1.0
+    )
+    for _ in range(1_000):
+        chain.call()
+    # A tenth more, and the burst that the budget allows.
+    assert chain.work <= 1_100 + 10
+
+
+def test_leaving_member_moves_only_its_own_children():
+    """Guards against a tree that is rebuilt by each failure."""
+    members = [ids.DaemonId(f"d{n}") for n in range(600)]
+    gone = next(m for m in members if roles.level(m) == 1)
+    before = roles.Tree(members)
+    after = roles.Tree([m for m in members if m != gone])
+    for member in members:
+        parent = before.parent(member)
+        if member != gone and parent not in (gone, None):
+            assert after.parent(member) == parent
+
+
+def test_tree_has_bounded_fan_out_and_no_cycle():
+    """Guards against a relay that serves a whole zone by itself."""
+    members = [ids.DaemonId(f"d{n}") for n in range(1_400)]
+    tree = roles.Tree(members)
+    children: dict[str, int] = {}
+    for member in members:
+        parent = tree.parent(member)
+        if parent is not None:
+            children[parent] = children.get(parent, 0) + 1
+        depth = 0
+        while parent is not None:
+            parent = tree.parent(parent)
+            depth += 1
+        assert depth <= 5
+    assert max(children.values()) <= 6 * 2**roles.TREE_BASE_BITS
