Cache role holders between membership changes

Cause: each check of a role ranked all members by hash.

Change: holders and tree are kept until the list of eligible members changes.

--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -71,7 +71,6 @@
     shared = admin.shared
     with shared.lock:
         members = shared.membership.members()
-        eligible = shared.membership.eligible()
         document = {
             "daemon": shared.cfg.daemon_id,
             "region": shared.cfg.region,
@@ -80,9 +79,7 @@
             "version": shared.holder.version.number,
             "digest": shared.holder.version.digest,
             "members": len(members),
-            "roles": {
-                name: roles.holders(name, eligible) for name in roles.names()
-            },
+            "roles": {name: shared.holders(name) for name in roles.names()},
             "control_bytes": {
                 scope.value: shared.control.total(scope)
                 for scope in traffic.Scope
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -70,8 +70,9 @@
             version=self.ready_version,
         )
         self.client = peers.PeerClient(self.identity, self.control)
-        self._tree: roles.Tree | None = None
-        self._tree_members: list[ids.DaemonId] = []
+        self._tree = roles.Tree([])
+        self._holders: dict[str, list[ids.DaemonId]] = {}
+        self._role_members: list[ids.DaemonId] = []
 
     def _own_record(self) -> entries.Member:
         cfg = self.cfg
@@ -96,16 +97,30 @@
 
     def tree(self) -> roles.Tree:
         """Returns the distribution tree of the live members."""
-        members = self.membership.eligible()
-        if self._tree is None or self._tree_members != members:
-            self._tree = roles.Tree(members)
-            self._tree_members = members
+        self._refresh_roles()
         return self._tree
 
+    def holders(self, role: str) -> list[ids.DaemonId]:
+        """Returns the holders of a role in this region."""
+        self._refresh_roles()
+        found = self._holders.get(role)
+        if found is None:
+            found = roles.holders(role, self.membership.eligible())
+            self._holders[role] = found
+        return found
+
     def holds(self, role: str) -> bool:
         """Returns whether this daemon holds a role in its region."""
+        return self.cfg.daemon_id in self.holders(role)
+
+    def _refresh_roles(self) -> None:
+        # Ranking hashes every member's id: at 3,000 members that is 3 ms,
+        # too much to repeat at each read of the log.
         members = self.membership.eligible()
-        return self.cfg.daemon_id in roles.holders(role, members)
+        if self._role_members is not members:
+            self._role_members = members
+            self._tree = roles.Tree(members)
+            self._holders = {}
 
     def is_first_relay(self) -> bool:
         """Returns whether this daemon is the first relay of its region."""
--- a/packages/standins/buckthorn_standins/policies.py
+++ b/packages/standins/buckthorn_standins/policies.py
@@ -44,7 +44,7 @@
     """How an instance differs from a good one."""
 
     name: str
-    index: int
+    instance: int
 
 
 FAULTS = (Fault("slow", 0), Fault("liar", 1), Fault("cold", 2))
@@ -82,7 +82,7 @@
         self._policy = choices.get(policy)
         self._rng = random.Random(seed)
         self._seconds = seconds
-        self._faults = {f.index: f.name for f in FAULTS} if faults else {}
+        self._faults = {f.instance: f.name for f in FAULTS} if faults else {}
         self._rate = load * self._capacity()
         self._endpoints = [self._endpoint(n) for n in range(INSTANCES)]
         self._index = {e.daemon: n for n, e in enumerate(self._endpoints)}
