Find all faults of the operators' files, each at its place

The parser of json-five took 3.4 s for a base file of 174 KB, findings inside a mapping named the first key instead of the faulty one, and a fault that an overlay makes was reported in the base.

Parse the tokens of json-five with a small parser of our own, examine values that don't fit their type part by part, and trace a merged value back to the file that sets it. Duplicate keys are reported together with wrong types, a faulty overlay no longer hides the others.

--- /dev/null
+++ b/packages/adapters/buckthorn_adapters/decoding.py
@@ -0,0 +1,103 @@
+"""Finds all parts of plain values that do not fit a type.
+
+msgspec stops at the first fault and does not name the key of a mapping in
+its paths, so a value that does not convert is examined part by part.
+"""
+
+from collections.abc import Iterator
+import difflib
+import types
+import typing
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from buckthorn_core import findings
+
+MAX_FAULTS = 200
+
+
+class Fault(NamedTuple):
+    """A part that does not fit."""
+
+    path: findings.Path
+    code: str
+    message: str
+
+
+def faults(
+    value: Any, target: Any, path: findings.Path = ()
+) -> Iterator[Fault]:
+    """Yields the parts of a value that do not fit a type."""
+    message = _misfit(value, target)
+    if message is None:
+        return
+    target = _plain(target, value)
+    origin, args = typing.get_origin(target), typing.get_args(target)
+    if _is_struct(target) and isinstance(value, dict):
+        yield from _struct_faults(value, target, path)
+    elif origin is dict and isinstance(value, dict):
+        for key, item in value.items():
+            yield from faults(item, args[1], (*path, key))
+    elif origin is list and isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from faults(item, args[0], (*path, index))
+    else:
+        yield Fault(path, "wrong-type", _message(message, path))
+
+
+def _struct_faults(
+    value: dict[str, Any], target: Any, path: findings.Path
+) -> Iterator[Fault]:
+    fields = {field.encode_name: field for field in _fields(target)}
+    for key, item in value.items():
+        if key in fields:
+            yield from faults(item, fields[key].type, (*path, key))
+        else:
+            yield Fault((*path, key), "unknown-key", _unknown(key, fields))
+    for name, field in fields.items():
+        if field.required and name not in value:
+            yield Fault(path, "missing-key", f"the key {name!r} is missing")
+
+
+def _fields(target: Any) -> tuple[Any, ...]:
+    return tuple(msgspec.structs.fields(target))
+
+
+def _unknown(key: str, known: typing.Iterable[str]) -> str:
+    names = sorted(known)
+    close = difflib.get_close_matches(key, names, 1)
+    if close:
+        return f"there is no key {key!r}; did you mean {close[0]!r}?"
+    return f"there is no key {key!r}; the keys are {', '.join(names)}"
+
+
+def _misfit(value: Any, target: Any) -> str | None:
+    try:
+        msgspec.convert(value, target)
+    except msgspec.ValidationError as exc:
+        return str(exc)
+    return None
+
+
+def _message(text: str, path: findings.Path) -> str:
+    said = text.partition(" - at ")[0].replace("`", "")
+    return f"{path[-1]}: {said}" if path else said
+
+
+def _is_struct(target: Any) -> bool:
+    return isinstance(target, type) and issubclass(target, msgspec.Struct)
+
+
+def _plain(target: Any, value: Any) -> Any:
+    """Resolves new types, and a union to its member for the value."""
+    while hasattr(target, "__supertype__"):
+        target = target.__supertype__
+    if typing.get_origin(target) not in (types.UnionType, typing.Union):
+        return target
+    for member in typing.get_args(target):
+        plain = _plain(member, value)
+        if _is_struct(plain) and isinstance(value, dict):
+            return plain
+    return target
--- /dev/null
+++ b/packages/adapters/buckthorn_adapters/jsonc_parser.py
@@ -0,0 +1,228 @@
+"""Parser of JSON with comments that keeps the place of each value.
+
+The tokens are those of json-five. Its own parser is not used: it builds a
+model of several objects per token and takes seconds for a large file.
+"""
+
+import bisect
+from collections.abc import Iterator
+import json
+from typing import Any
+from typing import NamedTuple
+
+import json5
+from json5 import tokenizer
+
+from buckthorn_core import findings
+
+MAX_DEPTH = 64
+
+_SKIPPED = frozenset({"WHITESPACE", "LINE_COMMENT", "BLOCK_COMMENT"})
+_STRINGS = frozenset({"DOUBLE_QUOTE_STRING", "SINGLE_QUOTE_STRING"})
+_NAMES = frozenset({"NAME", "TRUE", "FALSE", "NULL", "INFINITY", "NAN"})
+_CONSTANTS = {"TRUE": True, "FALSE": False, "NULL": None}
+_NUMBERS = frozenset(
+    {"PLUS", "MINUS", "FLOAT", "INTEGER", "EXPONENT", "HEXADECIMAL", "OCTAL"}
+)
+_END = "END"
+
+
+class Span(NamedTuple):
+    """Offsets of a value's text; `key` is that of its key or itself."""
+
+    key: int
+    start: int
+    end: int
+
+
+class Tree(NamedTuple):
+    """Result of a parse.
+
+    Attributes:
+        value: The content as plain values.
+        spans: Offsets of each value by its path.
+        duplicates: Path and offset of each key that stands twice.
+    """
+
+    value: Any
+    spans: dict[findings.Path, Span]
+    duplicates: list[tuple[findings.Path, int]]
+
+
+class ParseError(Exception):
+    """The text is not JSON with comments.
+
+    Attributes:
+        offset: Where the fault is.
+    """
+
+    def __init__(self, offset: int, message: str):
+        super().__init__(message)
+        self.offset = offset
+
+
+class _Token(NamedTuple):
+    type: str
+    text: str
+    start: int
+    end: int
+
+
+class LineIndex:
+    """Converts offsets of a text to lines and columns, counted from 1."""
+
+    def __init__(self, text: str):
+        self._starts = [0]
+        at = text.find("\n")
+        while at >= 0:
+            self._starts.append(at + 1)
+            at = text.find("\n", at + 1)
+
+    def position(self, offset: int) -> tuple[int, int]:
+        """Returns line and column of an offset."""
+        line = bisect.bisect_right(self._starts, offset)
+        return line, offset - self._starts[line - 1] + 1
+
+
+def parse(text: str) -> Tree:
+    """Parses a text.
+
+    Raises:
+        ParseError: At the first fault of the syntax.
+    """
+    return _Parser(text).run()
+
+
+def _tokens(text: str) -> Iterator[_Token]:
+    end = 0
+    try:
+        for token in tokenizer.tokenize(text):
+            end = token.end
+            if token.type not in _SKIPPED:
+                yield _Token(
+                    str(token.type), token.value, token.index, token.end
+                )
+    except json5.JSON5DecodeError as exc:
+        raise ParseError(end, f"unexpected {text[end]!r}") from exc
+    yield _Token(_END, "", len(text.rstrip()), len(text))
+
+
+class _Parser:
+    def __init__(self, text: str):
+        self._tokens = _tokens(text)
+        self._token = next(self._tokens)
+        self._last_end = 0
+        self._spans: dict[findings.Path, Span] = {}
+        self._duplicates: list[tuple[findings.Path, int]] = []
+
+    def run(self) -> Tree:
+        value = self._value((), None)
+        if self._token.type != _END:
+            raise self._fault("nothing may follow the value")
+        return Tree(value, self._spans, self._duplicates)
+
+    def _next(self) -> _Token:
+        token = self._token
+        self._last_end = token.end
+        if token.type != _END:
+            self._token = next(self._tokens)
+        return token
+
+    def _fault(self, wanted: str) -> ParseError:
+        token = self._token
+        if token.type == _END:
+            return ParseError(token.start, f"the file ends here; {wanted}")
+        if token.type.startswith("UNTERMINATED"):
+            return ParseError(token.start, "the string is not closed")
+        return ParseError(
+            token.start, f"unexpected {token.text[:20]!r}; {wanted}"
+        )
+
+    def _value(self, path: findings.Path, key: int | None) -> Any:
+        token = self._token
+        start = token.start
+        if len(path) > MAX_DEPTH:
+            raise ParseError(start, f"over {MAX_DEPTH} levels")
+        # The parent's span comes first, so that spans are in file order.
+        self._spans[path] = Span(start if key is None else key, start, start)
+        value: Any
+        if token.type == "LBRACE":
+            value = self._object(path)
+        elif token.type == "LBRACKET":
+            value = self._array(path)
+        elif token.type in _STRINGS:
+            value = _string(self._next())
+        elif token.type in _NUMBERS:
+            value = self._number()
+        elif token.type in _CONSTANTS:
+            value = _CONSTANTS[self._next().type]
+        else:
+            raise self._fault("a value is needed")
+        self._spans[path] = self._spans[path]._replace(end=self._last_end)
+        return value
+
+    def _object(self, path: findings.Path) -> dict[str, Any]:
+        self._next()
+        result: dict[str, Any] = {}
+        while self._token.type != "RBRACE":
+            token = self._token
+            if token.type in _STRINGS:
+                key = _string(self._next())
+            elif token.type in _NAMES:
+                key = self._next().text
+            else:
+                raise self._fault("a key or '}' is needed")
+            if self._token.type != "COLON":
+                raise self._fault(f"':' is needed after the key {key!r}")
+            self._next()
+            child = (*path, key)
+            if key in result:
+                self._duplicates.append((child, token.start))
+            result[key] = self._value(child, token.start)
+            self._separator("RBRACE", "}")
+        self._next()
+        return result
+
+    def _array(self, path: findings.Path) -> list[Any]:
+        self._next()
+        result: list[Any] = []
+        while self._token.type != "RBRACKET":
+            result.append(self._value((*path, len(result)), None))
+            self._separator("RBRACKET", "]")
+        self._next()
+        return result
+
+    def _separator(self, closing: str, sign: str) -> None:
+        if self._token.type == "COMMA":
+            self._next()
+        elif self._token.type != closing:
+            raise self._fault(f"',' or {sign!r} is needed")
+
+    def _number(self) -> int | float:
+        token = self._next()
+        start, text = token.start, token.text
+        while (
+            self._token.type in _NUMBERS and self._token.start == self._last_end
+        ):
+            text += self._next().text
+        try:
+            if "x" in text.lower():
+                return int(text, 16)
+            number = json.loads(text)
+        except ValueError:
+            raise ParseError(start, f"{text!r} is not a number") from None
+        if number in (float("inf"), float("-inf")):
+            raise ParseError(start, f"{text!r} is too large")
+        return number
+
+
+def _string(token: _Token) -> str:
+    inner = token.text[1:-1]
+    if "\n" in inner:
+        raise ParseError(token.start, "the string is not closed on its line")
+    if "\\" not in inner:
+        return inner
+    try:
+        return str(json5.loads(token.text))
+    except (json5.JSON5DecodeError, ValueError) as exc:
+        raise ParseError(token.start, "the escape is wrong") from exc
--- a/packages/client/buckthorn_client/files.py
+++ b/packages/client/buckthorn_client/files.py
@@ -8,10 +8,13 @@
 from buckthorn_core import findings
 from buckthorn_core import ids
 from buckthorn_core import meshes
+from buckthorn_core import records
 from buckthorn_core import validation
 
 BASE_NAME = "base.jsonc"
 OVERLAYS_NAME = "overlays"
+# The rest of a log record holds the publication's other fields.
+MAX_BUNDLE_BYTES = records.MAX_RECORD_BYTES - 4_096
 
 
 class BundleFiles:
@@ -38,22 +41,55 @@
             meshes.Base,
             found,
         )
-        overlays: dict[ids.SiteName, meshes.Overlay] = {}
-        for path in sorted((self.folder / OVERLAYS_NAME).glob("*.jsonc")):
-            site = ids.SiteName(path.stem)
-            overlay = self._read(
-                validation.overlay_file(site), path, meshes.Overlay, found
-            )
-            if overlay is not None:
-                overlays[site] = overlay
+        overlays = self._read_overlays(found)
         if base is None:
             raise findings.FindingsError(found)
         bundle = meshes.Bundle(base, overlays)
         found.extend(self._locate(validation.validate(bundle)))
         if found:
             raise findings.FindingsError(found)
+        self._check_size(bundle)
         return bundle
 
+    def overlay_path(self, site: ids.SiteName) -> pathlib.Path:
+        """Returns the file of a site's overlay."""
+        return self.folder / OVERLAYS_NAME / f"{site}.jsonc"
+
+    def _read_overlays(
+        self, found: list[findings.Finding]
+    ) -> dict[ids.SiteName, meshes.Overlay]:
+        overlays: dict[ids.SiteName, meshes.Overlay] = {}
+        for path in sorted((self.folder / OVERLAYS_NAME).glob("*.jsonc")):
+            site = ids.SiteName(path.stem)
+            overlay = self._read(
+                validation.overlay_file(site), path, meshes.Overlay, found
+            )
+            # An empty overlay stands in for a faulty one, so that overlays
+            # which extend it are not reported too.
+            overlays[site] = overlay or meshes.Overlay(site)
+        return overlays
+
+    def _check_size(self, bundle: meshes.Bundle) -> None:
+        size = len(meshes.encode(bundle))
+        if size <= MAX_BUNDLE_BYTES:
+            return
+        path = self.folder / BASE_NAME
+        message = (
+            f"base and overlays take {size} bytes as a log record, over"
+            f" {MAX_BUNDLE_BYTES}; remove services or overlays"
+        )
+        raise findings.FindingsError(
+            [
+                findings.Finding(
+                    str(path),
+                    (),
+                    "too-large",
+                    message,
+                    findings.Place(str(path), 1, 1),
+                )
+            ]
+        )
+
     def _read(
         self,
         name: str,
--- a/packages/core/buckthorn_core/validation.py
+++ b/packages/core/buckthorn_core/validation.py
@@ -33,8 +33,28 @@
 
 
 def validate(bundle: meshes.Bundle) -> list[findings.Finding]:
-    """Runs all checks; an empty list means that the bundle is valid."""
-    return [finding for run in _checks for finding in run(bundle)]
+    """Runs all checks; an empty list means that the bundle is valid.
+
+    A fault in the base shows at each site; it is reported once.
+    """
+    found: dict[tuple[str, findings.Path, str], findings.Finding] = {}
+    for run in _checks:
+        for finding in run(bundle):
+            key = (finding.file, finding.path, finding.code)
+            found.setdefault(key, finding)
+    return list(found.values())
+
+
+def _origin(
+    bundle: meshes.Bundle, site: ids.SiteName, path: findings.Path
+) -> str:
+    """Returns the file that sets a value of a site's merged view."""
+    kind, name, field = (str(step) for step in path)
+    for overlay in reversed(views.overlay_chain(bundle, site)):
+        change = getattr(overlay, kind).get(name)
+        if change is not None and getattr(change, field) is not None:
+            return overlay_file(overlay.site)
+    return BASE_FILE
 
 
 def _all_sites(base: meshes.Base) -> set[ids.SiteName]:
@@ -141,35 +161,41 @@
 def _limits(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
     for site in sorted(_all_sites(bundle.base)):
         view = views.merge(bundle, site)
-        for name, service in view.services.items():
-            for field, value, most in (
-                ("slots", service.slots, MAX_SLOTS),
-                ("connections", service.connections, MAX_CONNECTIONS),
-            ):
-                if not 1 <= value <= most:
-                    yield _out_of_range(
-                        ("services", name, field), site, value, 1, most
-                    )
-        for resource, limits in view.resources.items():
-            for field, value, least, most in (
-                ("deadline_ms", limits.deadline_ms, 1, MAX_DEADLINE_MS),
-                ("max_body_bytes", limits.max_body_bytes, 0, MAX_BODY_BYTES),
-            ):
-                if not least <= value <= most:
-                    yield _out_of_range(
-                        ("resources", resource, field), site, value, least, most
-                    )
+        for kind, items in (
+            ("services", view.services.items()),
+            ("resources", view.resources.items()),
+        ):
+            for name, item in items:
+                yield from _out_of_range(bundle, site, (kind, name), item)
+
+
+_RANGES: dict[str, dict[str, tuple[int, int]]] = {
+    "services": {
+        "slots": (1, MAX_SLOTS),
+        "connections": (1, MAX_CONNECTIONS),
+    },
+    "resources": {
+        "deadline_ms": (1, MAX_DEADLINE_MS),
+        "max_body_bytes": (0, MAX_BODY_BYTES),
+    },
+}
 
 
 def _out_of_range(
-    path: findings.Path, site: ids.SiteName, value: int, least: int, most: int
-) -> findings.Finding:
-    return findings.Finding(
-        BASE_FILE,
-        path,
-        "out-of-range",
-        f"{value} at site {site} is not between {least} and {most}",
-    )
+    bundle: meshes.Bundle,
+    site: ids.SiteName,
+    path: tuple[str, str],
+    item: meshes.Service | meshes.Resource,
+) -> Iterator[findings.Finding]:
+    for field, (least, most) in _RANGES[path[0]].items():
+        value = getattr(item, field)
+        if not least <= value <= most:
+            yield findings.Finding(
+                _origin(bundle, site, (*path, field)),
+                (*path, field),
+                "out-of-range",
+                f"{value} at site {site} is not between {least} and {most}",
+            )
 
 
 @check
@@ -177,17 +203,19 @@
     for site in sorted(_all_sites(bundle.base)):
         owners: dict[str, ids.RouteName] = {}
         for name, route in views.merge(bundle, site).routes.items():
+            path = ("routes", name, "prefix")
+            file = _origin(bundle, site, path)
             if not route.prefix.startswith("/"):
                 yield findings.Finding(
-                    BASE_FILE,
-                    ("routes", name, "prefix"),
+                    file,
+                    path,
                     "bad-prefix",
                     f"prefix {route.prefix!r} does not start with '/'",
                 )
             if route.prefix in owners:
                 yield findings.Finding(
-                    BASE_FILE,
-                    ("routes", name, "prefix"),
+                    file,
+                    path,
                     "duplicate-prefix",
                     f"at site {site} route {owners[route.prefix]!r} has the"
                     f" prefix {route.prefix!r} too",
@@ -198,4 +226,26 @@
 @check
 def _closed(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
     for site in sorted(_all_sites(bundle.base)):
-        yield from views.check_closed(views.merge(bundle, site))
+        for finding in views.check_closed(views.merge(bundle, site)):
+            yield _locate_dangling(bundle, site, finding)
+
+
+def _locate_dangling(
+    bundle: meshes.Bundle, site: ids.SiteName, finding: findings.Finding
+) -> findings.Finding:
+    """Moves a dangling reference to the overlay that makes it dangle."""
+    _, route, field = (str(step) for step in finding.path)
+    merged = views.merge(bundle, site).routes[ids.RouteName(route)]
+    kind, target = f"{field}s", getattr(merged, field)
+    for overlay in reversed(views.overlay_chain(bundle, site)):
+        change = getattr(overlay, kind).get(target)
+        if change is not None and change.absent:
+            file = overlay_file(overlay.site)
+            path: findings.Path = (kind, target, "absent")
+            return findings.Finding(file, path, finding.code, finding.message)
+    return findings.Finding(
+        _origin(bundle, site, finding.path),
+        finding.path,
+        finding.code,
+        finding.message,
+    )
