--- /dev/null
+++ b/packages/client/buckthorn_client/daemons.py
@@ -0,0 +1,50 @@
+"""Client of a daemon's admin interface."""
+
+import msgspec
+import urllib3
+
+from buckthorn_core import errors
+from buckthorn_core import fleets
+
+TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 4 * 1_048_576
+
+
+class DaemonClient:
+    """Asks one daemon about the whole fleet."""
+
+    def __init__(self, url: str):
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+    def fleet(self) -> fleets.FleetStatus:
+        """Returns the status of the fleet.
+
+        Raises:
+            errors.PeerError: The daemon did not answer as expected.
+        """
+        try:
+            resp = self._pool.request(
+                "GET", f"{self._url}/v1/fleet", preload_content=False
+            )
+            body = resp.read(MAX_ANSWER_BYTES + 1)
+            resp.drain_conn()
+            resp.release_conn()
+        except urllib3.exceptions.HTTPError as exc:
+            raise _unavailable(self._url, str(exc)) from exc
+        if resp.status != 200 or len(body) > MAX_ANSWER_BYTES:
+            raise _unavailable(
+                self._url, f"status {resp.status}, {len(body)} bytes"
+            )
+        try:
+            return msgspec.json.decode(body, type=fleets.FleetStatus)
+        except msgspec.DecodeError as exc:
+            raise _unavailable(self._url, str(exc)) from exc
+
+
+def _unavailable(url: str, text: str) -> errors.PeerError:
+    return errors.PeerError(
+        errors.Code.PEER_UNAVAILABLE,
+        f"{url}: {text}. Name the admin address of another daemon with"
+        " --daemon=http://IP:PORT",
+    )
--- /dev/null
+++ b/packages/client/buckthorn_client/differences.py
@@ -0,0 +1,78 @@
+"""Differences between two versions, as the sites see them."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import views
+
+_KINDS = ("services", "resources", "routes")
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A value that differs at some sites.
+
+    Attributes:
+        sites: The sites, sorted.
+        path: The value, like `services.stock-catalogue.slots`.
+        old: Old value as JSON, or None if there was none.
+        new: New value as JSON, or None if there is none.
+    """
+
+    sites: list[ids.SiteName]
+    path: str
+    old: str | None
+    new: str | None
+
+
+def compare(
+    old: meshes.Bundle | None, new: meshes.Bundle | None
+) -> list[Change]:
+    """Returns what changes at the sites; None stands for no version."""
+    sites = {*_sites(old), *_sites(new)}
+    grouped: dict[tuple[str, str | None, str | None], list[ids.SiteName]] = {}
+    for site in sorted(sites):
+        before, after = _values(old, site), _values(new, site)
+        for path in {**before, **after}:
+            values = (before.get(path), after.get(path))
+            if values[0] != values[1]:
+                grouped.setdefault((path, *values), []).append(site)
+    return sorted(
+        (Change(found, *key) for key, found in grouped.items()),
+        key=lambda change: (change.path, change.sites),
+    )
+
+
+def _sites(bundle: meshes.Bundle | None) -> Iterator[ids.SiteName]:
+    if bundle is not None:
+        for sites in bundle.base.regions.values():
+            yield from sites
+
+
+def _values(bundle: meshes.Bundle | None, site: ids.SiteName) -> dict[str, str]:
+    """Returns a site's merged configuration as a flat mapping."""
+    if bundle is None or site not in set(_sites(bundle)):
+        return {}
+    view = views.merge(bundle, site)
+    state = meshes.SiteState.ACTIVE
+    if site in view.draining_sites:
+        state = meshes.SiteState.DRAINING
+    values = {
+        "mesh": _json(bundle.base.mesh),
+        "region": _json(view.region),
+        "state": _json(state),
+    }
+    for target, weight in view.traffic.items():
+        values[f"traffic.{target}"] = _json(weight)
+    for kind in _KINDS:
+        for name, item in getattr(view, kind).items():
+            for field, value in msgspec.to_builtins(item).items():
+                values[f"{kind}.{name}.{field}"] = _json(value)
+    return values
+
+
+def _json(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/packages/client/buckthorn_client/following.py
@@ -0,0 +1,143 @@
+"""Follows the configuration stream as the daemons do."""
+
+import collections
+
+from buckthorn_core import acceptance
+from buckthorn_core import checkpoints
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import ports
+from buckthorn_core import records
+
+READ_LIMIT = 256
+# Bundles kept for differences; each is at most a log record.
+KEPT_BUNDLES = 16
+
+
+class Follower:
+    """Reads the log from a checkpoint on and applies its records.
+
+    Attributes:
+        acceptor: The state that the records give.
+    """
+
+    def __init__(
+        self, log: ports.LogService, publish_key: bytes, peer_key: bytes
+    ):
+        self._log = log
+        self._keys = (publish_key, peer_key)
+        self.acceptor = acceptance.Acceptor(publish_key, peer_key)
+        self._started = False
+        self._bundles: collections.OrderedDict[
+            meshes.VersionId, meshes.Bundle
+        ] = collections.OrderedDict()
+        self._verdicts: dict[ids.PublicationId, acceptance.Outcome] = {}
+
+    def catch_up(
+        self,
+        wanted: checkpoints.Wanted = lambda _: True,
+        stop_at: ids.VersionNumber | None = None,
+    ) -> meshes.VersionId:
+        """Reads the log to its end and returns the accepted version.
+
+        Args:
+            wanted: At the first call, whether a checkpoint may be the start.
+            stop_at: Stop once this version is accepted.
+
+        Raises:
+            errors.LogError: The log can't be read now, or has lost records
+                that no checkpoint covers.
+        """
+        if not self._started:
+            self._start(wanted)
+        acceptor = self.acceptor
+        while True:
+            batch = self._log.read(
+                records.CONFIG_STREAM, acceptor.next_offset, READ_LIMIT
+            )
+            acceptor.note_first(batch.first)
+            for record in batch.records:
+                self._apply(record)
+                if stop_at is not None and acceptor.version.number >= stop_at:
+                    return acceptor.version
+            if acceptor.next_offset >= batch.end:
+                self._check_gap()
+                return acceptor.version
+
+    def outcome(
+        self, publication: ids.PublicationId
+    ) -> acceptance.Outcome | None:
+        """Returns what became of a publication, if it has been read."""
+        return self._verdicts.get(publication)
+
+    def bundle_of(self, number: ids.VersionNumber) -> meshes.Bundle | None:
+        """Returns the bundle of an accepted version, None for version 0.
+
+        Raises:
+            errors.LogError: The log can't be read now or no longer holds the
+                version.
+        """
+        if number == 0:
+            return None
+        for version, bundle in self._bundles.items():
+            if version.number == number:
+                return bundle
+        return self._read_older(number)
+
+    def version_of(self, number: ids.VersionNumber) -> meshes.VersionId:
+        """Returns number and digest of an accepted version.
+
+        Raises:
+            errors.LogError: The log can't be read now or no longer holds the
+                version.
+        """
+        if number == self.acceptor.version.number:
+            return self.acceptor.version
+        bundle = self.bundle_of(number)
+        if bundle is None:
+            return meshes.NO_VERSION
+        return meshes.VersionId(number, meshes.digest(meshes.encode(bundle)))
+
+    def _start(self, wanted: checkpoints.Wanted) -> None:
+        checkpoint = checkpoints.find_newest(self._log, self._keys[1], wanted)
+        if checkpoint is not None:
+            # The acceptor takes the part before as a gap, which this
+            # checkpoint then covers.
+            self.acceptor.note_first(ids.Offset(checkpoint.as_of + 1))
+        self._started = True
+
+    def _check_gap(self) -> None:
+        if self.acceptor.gapped:
+            raise errors.LogError(
+                errors.Code.LOG_GAP,
+                "the log has dropped records that no checkpoint covers; wait"
+                " a minute until a daemon has written one, and try again",
+            )
+
+    def _apply(self, found: ports.LogRecord) -> None:
+        acceptor = self.acceptor
+        before = acceptor.version
+        outcome = acceptor.apply_bytes(found.offset, found.data)
+        if acceptor.version != before:
+            self._bundles[acceptor.version] = meshes.decode(acceptor.raw)
+            if len(self._bundles) > KEPT_BUNDLES:
+                self._bundles.popitem(last=False)
+        try:
+            record = records.decode(found.data)
+        except errors.LogError:
+            return
+        if isinstance(record, records.Publication):
+            self._verdicts.setdefault(record.id, outcome)
+
+    def _read_older(self, number: ids.VersionNumber) -> meshes.Bundle:
+        older = Follower(self._log, *self._keys)
+        version = older.catch_up(
+            lambda checkpoint: checkpoint.version.number <= number, number
+        )
+        if version.number != number:
+            raise errors.LogError(
+                errors.Code.LOG_GAP,
+                f"version {number} is not in the log (any more)",
+            )
+        return meshes.decode(older.acceptor.raw)
--- a/packages/client/buckthorn_client/publishing.py
+++ b/packages/client/buckthorn_client/publishing.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 import uuid
 
+from buckthorn_client import following
 from buckthorn_core import acceptance
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -12,7 +13,6 @@
 from buckthorn_core import ports
 from buckthorn_core import records
 
-READ_LIMIT = 256
 MAX_TRIES = 8
 RETRY_S = 0.5
 
@@ -34,16 +34,18 @@
 
 
 class Publisher:
-    """Publishes, and follows the log as the daemons do."""
+    """Publishes, and follows the log as the daemons do.
+
+    Attributes:
+        follower: What has been read of the log.
+    """
 
     def __init__(
         self, log: ports.LogService, publish_key: bytes, peer_key: bytes
     ):
         self._log = log
         self._publish_key = publish_key
-        self.acceptor = acceptance.Acceptor(publish_key, peer_key)
-        self._verdicts: dict[ids.Offset, acceptance.Outcome] = {}
-        self._mine: dict[ids.PublicationId, ids.Offset] = {}
+        self.follower = following.Follower(log, publish_key, peer_key)
 
     def catch_up(self) -> meshes.VersionId:
         """Reads the log to its end and returns the accepted version.
@@ -51,25 +53,7 @@
         Raises:
             errors.LogError: The log can't be read now.
         """
-        while True:
-            batch = self._log.read(
-                records.CONFIG_STREAM, self.acceptor.next_offset, READ_LIMIT
-            )
-            self.acceptor.note_first(batch.first)
-            for record in batch.records:
-                self._apply(record)
-            if self.acceptor.next_offset >= batch.end:
-                return self.acceptor.version
-
-    def _apply(self, found: ports.LogRecord) -> None:
-        outcome = self.acceptor.apply_bytes(found.offset, found.data)
-        try:
-            record = records.decode(found.data)
-        except errors.LogError:
-            return
-        if isinstance(record, records.Publication):
-            self._verdicts[found.offset] = outcome
-            self._mine.setdefault(record.id, found.offset)
+        return self.follower.catch_up()
 
     def publish(
         self, bundle: meshes.Bundle, based_on: meshes.VersionId, author: str
@@ -101,26 +85,34 @@
             except errors.LogError as exc:
                 if exc.code is errors.Code.RECORD_TOO_LARGE:
                     raise
-            try:
-                self.catch_up()
-                if record.id in self._mine:
-                    return self._result(record.id)
-            except errors.LogError:
-                if attempt == MAX_TRIES - 1:
-                    raise
-            time.sleep(RETRY_S * (attempt + 1))
+            result = self._look_up(record.id)
+            if result is not None:
+                return result
+            if attempt + 1 < MAX_TRIES:
+                time.sleep(RETRY_S * (attempt + 1))
         raise errors.LogError(
-            errors.Code.LOG_UNAVAILABLE, "the log did not take the publication"
+            errors.Code.LOG_UNAVAILABLE,
+            f"the fate of publication {record.id} is unknown: the log did not"
+            " answer, but may have taken it. When the log answers again, look"
+            " for the publication with `buckthornctl history` before you"
+            " publish again",
         )
 
-    def _result(self, publication: ids.PublicationId) -> Result:
-        outcome = self._verdicts[self._mine[publication]]
+    def _look_up(self, publication: ids.PublicationId) -> Result | None:
+        """Reads on; returns None if the log fails or lacks the record."""
+        try:
+            self.catch_up()
+        except errors.LogError:
+            return None
+        outcome = self.follower.outcome(publication)
+        if outcome is None:
+            return None
         if outcome.verdict is acceptance.Verdict.ACCEPTED:
             return Result(Fate.ACCEPTED, outcome.version)
         if outcome.verdict is acceptance.Verdict.STALE:
-            return Result(Fate.LOST_RACE, self.acceptor.version)
+            return Result(Fate.LOST_RACE, outcome.version)
         return Result(
             Fate.REFUSED,
-            self.acceptor.version,
+            outcome.version,
             f"{outcome.verdict.value}: {outcome.detail}",
         )
--- a/packages/core/buckthorn_core/acks.py
+++ b/packages/core/buckthorn_core/acks.py
@@ -1,12 +1,19 @@
 """Aggregation of acknowledgements up the distribution tree."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from buckthorn_core import ids
 
 MAX_LAGGARDS = 8
+# Bounds of a report, whatever the children send. More than a few versions
+# are in force together only while some daemons lag far behind.
+MAX_VERSIONS = 8
+MAX_SITES = 64
 REPORT_TIMEOUT_S = 6.5
 
+Counts = dict[int, int]
+
 
 class Tally(NamedTuple):
     """Versions in force on a set of daemons.
@@ -14,10 +21,12 @@
     Attributes:
         counts: Number of daemons by version number.
         laggards: Some daemons with the lowest version.
+        sites: The counts of each site.
     """
 
-    counts: dict[int, int]
+    counts: Counts
     laggards: list[ids.DaemonId]
+    sites: dict[ids.SiteName, Counts] = {}
 
     @property
     def lowest(self) -> int:
@@ -33,8 +42,9 @@
 class AckTree:
     """The tally of a daemon and all daemons below it."""
 
-    def __init__(self, me: ids.DaemonId):
+    def __init__(self, me: ids.DaemonId, site: ids.SiteName | None = None):
         self._me = me
+        self._site = site
         self._reports: dict[ids.DaemonId, _Report] = {}
 
     def add(self, child: ids.DaemonId, tally: Tally, now_s: float) -> None:
@@ -49,16 +59,14 @@
             if now_s - report.time_s < REPORT_TIMEOUT_S
         }
         tallies = [report.tally for report in self._reports.values()]
-        tallies.append(Tally({own: 1}, [self._me]))
+        sites = {self._site: {int(own): 1}} if self._site else {}
+        tallies.append(Tally({own: 1}, [self._me], sites))
         return combine(tallies)
 
 
 def combine(tallies: list[Tally]) -> Tally:
     """Adds tallies of disjoint sets of daemons."""
-    counts: dict[int, int] = {}
-    for tally in tallies:
-        for number, count in tally.counts.items():
-            counts[number] = counts.get(number, 0) + count
+    counts = _add(tally.counts for tally in tallies)
     lowest = min(counts, default=0)
     laggards = [
         daemon
@@ -66,4 +74,30 @@
         if tally.lowest == lowest
         for daemon in tally.laggards
     ]
-    return Tally(counts, laggards[:MAX_LAGGARDS])
+    names = sorted({site for tally in tallies for site in tally.sites})
+    sites = {
+        site: _add(tally.sites.get(site, {}) for tally in tallies)
+        for site in names[:MAX_SITES]
+    }
+    return Tally(counts, laggards[:MAX_LAGGARDS], sites)
+
+
+def _add(parts: Iterable[Counts]) -> Counts:
+    counts: Counts = {}
+    for part in parts:
+        for number, count in part.items():
+            counts[number] = counts.get(number, 0) + count
+    return _bounded(counts)
+
+
+def _bounded(counts: Counts) -> Counts:
+    """Counts the lower versions as the lowest once there are too many.
+
+    No daemon is then shown with a higher version than it has.
+    """
+    if len(counts) <= MAX_VERSIONS:
+        return counts
+    numbers = sorted(counts, reverse=True)
+    kept = {n: counts[n] for n in numbers[: MAX_VERSIONS - 1]}
+    kept[numbers[-1]] = sum(counts[n] for n in numbers[MAX_VERSIONS - 1 :])
+    return kept
--- /dev/null
+++ b/packages/core/buckthorn_core/fleets.py
@@ -0,0 +1,116 @@
+"""State of the whole fleet, as a daemon's admin interface returns it.
+
+The size is bounded by the numbers of sites, services and roles; it does not
+grow with the number of daemons.
+"""
+
+import msgspec
+
+from buckthorn_core import ids
+from buckthorn_core import meshes
+
+MAX_DRAINS = 8
+
+
+class SiteStatus(msgspec.Struct, frozen=True):
+    """Daemons of a site.
+
+    Attributes:
+        site: The site.
+        region: Its region, or empty if the version in force lacks the site.
+        state: State of the site in the version in force.
+        versions: Number of daemons by version number; 0 stands for daemons
+            that refuse callers because they don't know their floor.
+    """
+
+    site: ids.SiteName
+    region: ids.RegionName
+    state: meshes.SiteState
+    versions: dict[int, int]
+
+
+class ServiceStatus(msgspec.Struct, frozen=True):
+    """Upstreams of a service in a region that take work."""
+
+    region: ids.RegionName
+    service: ids.ServiceName
+    instances: int
+    slots: int
+
+
+class FleetStatus(msgspec.Struct, frozen=True):
+    """State of the fleet.
+
+    Attributes:
+        daemon: The daemon that was asked.
+        region: Its region.
+        counted_by: The daemon that counted the versions.
+        whole: Whether that is the root of the distribution tree. If not, the
+            counts cover only the part of the fleet below it.
+        accepted: The latest version that the counting daemon knows.
+        versions: Number of daemons by version number.
+        sites: Daemons by site.
+        laggards: Some daemons with the lowest version.
+        roles: Holders of roles by region, of the region of the log and of
+            the asked daemon.
+        services: Upstreams by region and service, as the asked daemon knows
+            them.
+        draining_daemons: Some daemons of the asked daemon's region that
+            leave after their requests in flight.
+        control_bytes: Bytes of control messages that the asked daemon has
+            sent since its start, by whether they crossed regions.
+    """
+
+    daemon: ids.DaemonId
+    region: ids.RegionName
+    counted_by: ids.DaemonId
+    whole: bool
+    accepted: meshes.VersionId
+    versions: dict[int, int]
+    sites: list[SiteStatus]
+    laggards: list[ids.DaemonId]
+    roles: dict[ids.RegionName, dict[str, list[ids.DaemonId]]]
+    services: list[ServiceStatus]
+    draining_daemons: list[ids.DaemonId]
+    control_bytes: dict[str, int]
+
+
+def lagging_sites(status: FleetStatus, number: int) -> dict[ids.SiteName, int]:
+    """Returns the number of daemons below a version, by site."""
+    lagging = {}
+    for site in status.sites:
+        behind = sum(n for v, n in site.versions.items() if v < number)
+        if behind:
+            lagging[site.site] = behind
+    return lagging
+
+
+def silent_regions(status: FleetStatus) -> list[ids.RegionName]:
+    """Returns regions of which fewer daemons report than have upstreams.
+
+    Such a region is cut off, or its daemons have only just started or left.
+    """
+    reporting: dict[ids.RegionName, int] = {}
+    for site in status.sites:
+        count = sum(site.versions.values())
+        reporting[site.region] = reporting.get(site.region, 0) + count
+    expected: dict[ids.RegionName, int] = {}
+    for service in status.services:
+        expected[service.region] = (
+            expected.get(service.region, 0) + service.instances
+        )
+    return sorted(
+        region
+        for region, count in expected.items()
+        if reporting.get(region, 0) < count
+    )
+
+
+def is_in_force(status: FleetStatus, number: int) -> bool:
+    """Returns whether every daemon enforces a version, or a later one."""
+    return (
+        status.whole
+        and bool(status.versions)
+        and min(status.versions) >= number
+        and not silent_regions(status)
+    )
--- a/packages/core/buckthorn_core/messages.py
+++ b/packages/core/buckthorn_core/messages.py
@@ -108,11 +108,13 @@
         held: Version in force at the child.
         counts: Number of daemons below by version number, child included.
         laggards: Some daemons with the lowest version.
+        sites: The counts of each site.
     """
 
     held: meshes.VersionId
     counts: dict[int, int]
     laggards: list[ids.DaemonId]
+    sites: dict[ids.SiteName, dict[int, int]] = {}
 
 
 class ReportReply(
@@ -162,14 +164,21 @@
     """Versions in force.
 
     Attributes:
-        accepted: The version that the log's readers accepted.
+        accepted: The latest version that the answering daemon knows; at a
+            log reader the accepted one.
         counts: Number of daemons by version number.
         laggards: Some daemons with the lowest version.
+        sites: The counts of each site.
+        root: Whether the answering daemon is the root of the tree.
+        roles: Holders of roles in its region.
     """
 
     accepted: meshes.VersionId
     counts: dict[int, int]
     laggards: list[ids.DaemonId]
+    sites: dict[ids.SiteName, dict[int, int]] = {}
+    root: bool = False
+    roles: dict[str, list[ids.DaemonId]] = {}
 
 
 Payload = (
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -1,6 +1,7 @@
 """Local HTTP interface: announcements, status, metrics."""
 
 from collections.abc import Callable
+import time
 
 import msgspec
 
@@ -9,7 +10,6 @@
 from buckthorn_core import roles
 from buckthorn_core import traffic
 from buckthorn_daemon import ingress
-from buckthorn_daemon import relaying
 from buckthorn_daemon import state
 
 MAX_BODY_BYTES = 65_536
@@ -35,11 +35,9 @@
         self,
         shared: state.State,
         local: ingress.Ingress,
-        distributor: relaying.Distributor,
     ):
         self.shared = shared
         self.local = local
-        self.distributor = distributor
 
     def handle(self, exchange: servers.Exchange) -> None:
         """Serves a request.
@@ -99,7 +97,8 @@
                 for member in members
             ],
         }
-    below = admin.distributor.status()
+    with shared.lock:
+        below = shared.acks.total(shared.ready_version(), time.monotonic())
     document["below"] = {
         "counts": {str(k): v for k, v in below.counts.items()},
         "laggards": below.laggards,
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -17,6 +17,7 @@
 from buckthorn_daemon import headers
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
+from buckthorn_daemon import querying
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
@@ -51,7 +52,7 @@
         self._summariser = summarising.Summariser(self.shared)
         self._ingress = ingress.Ingress(self.shared)
         self._egress = egress.Egress(self.shared)
-        self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
+        self._admin = admin.Admin(self.shared, self._ingress)
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
             self.shared.identity,
@@ -161,7 +162,7 @@
             messages.Pull: lambda m, e: distributor.on_pull(m),
             messages.Report: distributor.on_report,
             messages.Summary: lambda m, e: self._summariser.on_summary(m),
-            messages.StatusQuery: lambda m, e: distributor.status(),
+            messages.StatusQuery: lambda m, e: querying.count(self.shared),
         }
 
     def _on_announce(
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/querying.py
@@ -0,0 +1,179 @@
+"""Status of the whole fleet, from any daemon.
+
+The root of the distribution tree, the first relay of the log's region, has
+the acknowledgements of all daemons. Any other daemon asks it.
+"""
+
+from collections.abc import Iterator
+import time
+
+import msgspec
+
+from buckthorn_adapters import servers
+from buckthorn_core import endpoints
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import fleets
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import messages
+from buckthorn_core import roles
+from buckthorn_core import snapshots
+from buckthorn_core import traffic
+from buckthorn_daemon import admin
+from buckthorn_daemon import state
+
+QUERY_TIMEOUT_S = 1.0
+MAX_ROOT_TRIES = 3
+
+
+def count(shared: state.State) -> messages.StatusReply:
+    """Returns the versions in force on this daemon and below it."""
+    with shared.lock:
+        total = shared.acks.total(shared.ready_version(), time.monotonic())
+        return messages.StatusReply(
+            accepted=max(
+                shared.holder.version,
+                shared.acceptor.version,
+                key=lambda version: version.number,
+            ),
+            counts=total.counts,
+            laggards=total.laggards,
+            sites=total.sites,
+            root=_is_root(shared),
+            roles=_role_holders(shared),
+        )
+
+
+def fleet(shared: state.State) -> fleets.FleetStatus:
+    """Returns the status of the fleet, or of the part that is reachable."""
+    counter, reply = shared.cfg.daemon_id, count(shared)
+    if not reply.root:
+        counter, reply = _ask_root(shared) or (counter, reply)
+    with shared.lock:
+        region_roles = {shared.cfg.region: _role_holders(shared)}
+        if reply.root:
+            region_roles[shared.cfg.log_region] = reply.roles
+        return fleets.FleetStatus(
+            daemon=shared.cfg.daemon_id,
+            region=shared.cfg.region,
+            counted_by=counter,
+            whole=reply.root,
+            accepted=reply.accepted,
+            versions=reply.counts,
+            sites=_site_statuses(shared.holder.current, reply),
+            laggards=reply.laggards,
+            roles=region_roles,
+            services=sorted(
+                _service_statuses(shared), key=lambda s: (s.region, s.service)
+            ),
+            draining_daemons=_draining_daemons(shared),
+            control_bytes={
+                scope.value: shared.control.total(scope)
+                for scope in traffic.Scope
+            },
+        )
+
+
+@admin.endpoint("GET", "/v1/fleet")
+def _fleet(interface: admin.Admin, exchange: servers.Exchange) -> None:
+    exchange.answer(200, msgspec.json.encode(fleet(interface.shared)))
+
+
+def _is_root(shared: state.State) -> bool:
+    return (
+        shared.cfg.region == shared.cfg.log_region and shared.is_first_relay()
+    )
+
+
+def _role_holders(shared: state.State) -> dict[str, list[ids.DaemonId]]:
+    eligible = shared.membership.eligible()
+    return {name: roles.holders(name, eligible) for name in roles.names()}
+
+
+def _ask_root(
+    shared: state.State,
+) -> tuple[ids.DaemonId, messages.StatusReply] | None:
+    """Asks daemons that may be the root, until one says that it is.
+
+    The second relay of the log's region answers too while the first is not
+    reachable, but its counts cover only what is below it.
+    """
+    with shared.lock:
+        targets = list(_root_addresses(shared))
+    for address, scope in targets[:MAX_ROOT_TRIES]:
+        try:
+            envelope = shared.client.request(
+                address, messages.StatusQuery(), scope, QUERY_TIMEOUT_S
+            )
+        except errors.PeerError:
+            shared.metrics.count("buckthorn_status_query_failures")
+            continue
+        reply = envelope.payload
+        if isinstance(reply, messages.StatusReply) and reply.root:
+            return envelope.sender, reply
+    return None
+
+
+def _root_addresses(
+    shared: state.State,
+) -> Iterator[tuple[ids.Address, traffic.Scope]]:
+    cfg = shared.cfg
+    if cfg.region == cfg.log_region:
+        for daemon in shared.tree().relays:
+            member = shared.membership.member(daemon)
+            if member is not None and daemon != cfg.daemon_id:
+                yield member.peer_address, traffic.Scope.LOCAL
+        return
+    contacts = shared.table.entries.get(f"r/{cfg.log_region}")
+    if isinstance(contacts, entries.RegionContacts):
+        for address in contacts.addresses:
+            yield address, traffic.Scope.REGION
+
+
+def _site_statuses(
+    current: snapshots.Snapshot | None, reply: messages.StatusReply
+) -> list[fleets.SiteStatus]:
+    regions = current.view.region_by_site if current else {}
+    draining = current.view.draining_sites if current else frozenset()
+    found = []
+    for site in sorted({*regions, *reply.sites}):
+        drains = site in draining
+        found.append(
+            fleets.SiteStatus(
+                site=site,
+                region=regions.get(site, ids.RegionName("")),
+                state=meshes.SiteState.DRAINING
+                if drains
+                else meshes.SiteState.ACTIVE,
+                versions=reply.sites.get(site, {}),
+            )
+        )
+    return sorted(found, key=lambda s: (s.region, s.site))
+
+
+def _service_statuses(shared: state.State) -> Iterator[fleets.ServiceStatus]:
+    current = shared.holder.current
+    draining = current.view.draining_sites if current else frozenset()
+    own = endpoints.summarise(
+        shared.cfg.region, shared.membership.members(), draining
+    )
+    others = [
+        entry
+        for entry in shared.table.entries.values()
+        if isinstance(entry, entries.ServiceSummary)
+        and entry.region != shared.cfg.region
+    ]
+    for summary in [*own, *others]:
+        yield fleets.ServiceStatus(
+            summary.region, summary.service, summary.instances, summary.slots
+        )
+
+
+def _draining_daemons(shared: state.State) -> list[ids.DaemonId]:
+    found = [
+        member.id
+        for member in shared.membership.members()
+        if member.state is entries.MemberState.DRAINING
+    ]
+    return sorted(found)[: fleets.MAX_DRAINS]
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -48,9 +48,7 @@
         address, scope = parent
         with shared.lock:
             total = shared.acks.total(shared.ready_version(), time.monotonic())
-            message = messages.Report(
-                shared.holder.version, total.counts, total.laggards
-            )
+            message = messages.Report(shared.holder.version, *total)
         sent_s = time.monotonic()
         try:
             envelope = shared.client.request(address, message, scope)
@@ -180,7 +178,7 @@
                 self._remote_children[envelope.sender] = envelope.address
             shared.acks.add(
                 envelope.sender,
-                acks.Tally(message.counts, message.laggards),
+                acks.Tally(message.counts, message.laggards, message.sites),
                 now_s,
             )
             age_ms = -1
@@ -201,12 +199,3 @@
             answer.data,
             BUSY_RETRY_MS if answer.result is relays.PullResult.BUSY else 0,
         )
-
-    def status(self) -> messages.StatusReply:
-        """Returns the versions in force on this daemon and below."""
-        shared = self._shared
-        with shared.lock:
-            total = shared.acks.total(shared.ready_version(), time.monotonic())
-            return messages.StatusReply(
-                shared.holder.version, total.counts, total.laggards
-            )
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -52,7 +52,7 @@
         )
         self.endpoints = endpoints.EndpointIndex(cfg.region, self.table)
         self.relay = relays.Relay(compressors.ZstdDeltaCodec())
-        self.acks = acks.AckTree(cfg.daemon_id)
+        self.acks = acks.AckTree(cfg.daemon_id, cfg.site)
         self.holder = snapshots.SnapshotHolder()
         self.floors = floors.FloorSearch(cfg.site, self.started_s)
         self.acceptor = acceptance.Acceptor(
