--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
 
-.PHONY: demo test lint format clean
+.PHONY: demo test lint format docs clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
@@ -25,6 +25,9 @@
 	$(VENV)/bin/ruff check --fix packages tests tools
 	$(VENV)/bin/ruff format packages tests tools
 
+docs: $(VENV)/installed
+	$(VENV)/bin/python tools/settings_page.py
+
 $(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
--- a/packages/client/buckthorn_client/moves.py
+++ b/packages/client/buckthorn_client/moves.py
@@ -79,10 +79,11 @@
                 f" {', '.join(sorted(others))}; take these sites out of"
                 ' "traffic" first'
             )
-        draining = overlay.state is meshes.SiteState.DRAINING
+        if overlay.state is meshes.SiteState.DRAINING:
+            return self.steps[-1]
         total = sum(overlay.traffic.values())
         moved = overlay.traffic.get(self._new, 0.0)
-        return Step(round(WHOLE * moved / total) if total else 0, draining)
+        return Step(round(WHOLE * moved / total) if total else 0)
 
     def next(self, current: Step) -> Step | None:
         """Returns the next step, or None at the end."""
--- a/packages/client/buckthorn_client/settings.py
+++ b/packages/client/buckthorn_client/settings.py
@@ -1,10 +1,12 @@
 """Settings of the operators' command, with all defaults."""
 
+from collections.abc import Iterator
 import pathlib
 
 import msgspec
 
 from buckthorn_adapters import jsonc
+from buckthorn_core import findings
 
 
 class Settings(
@@ -27,10 +29,30 @@
     author: str = "operator"
 
 
+def check(cfg: Settings, file: str) -> Iterator[findings.Finding]:
+    """Yields what is wrong with settings of the right types."""
+    for name in ("log_url", "daemon_url"):
+        url = getattr(cfg, name)
+        if (url or name == "log_url") and not url.startswith("http://"):
+            yield findings.Finding(
+                file, (name,), "bad-url", "the URL must start with http://"
+            )
+    for name in ("publish_key", "peer_key"):
+        if not getattr(cfg, name):
+            yield findings.Finding(
+                file, (name,), "empty", "copy the key of the daemons' settings"
+            )
+
+
 def load(path: pathlib.Path) -> Settings:
-    """Loads settings.
+    """Loads and checks settings.
 
     Raises:
         findings.FindingsError: With all findings, each with its place.
     """
-    return jsonc.load(path).decode(Settings)
+    document = jsonc.load(path)
+    cfg = document.decode(Settings)
+    found = [document.locate(f) for f in check(cfg, str(path))]
+    if found:
+        raise findings.FindingsError(found)
+    return cfg
