Decide on operation keys by the order of the log

A non-idempotent request with a key must run at most once, also while daemons disagree about a partition's owner. An owner now grants a claim only after it has read it in the log's stream before any other claim of the key. The state of a key is a function of the stream's order and the log's times.

--- /dev/null
+++ b/packages/core/buckthorn_core/ledgers.py
@@ -0,0 +1,288 @@
+"""State of the operation keys of a partition, as a function of its stream.
+
+Only the order and the times of the log's records count, so that all daemons
+that read the stream come to the same result, whatever their clocks say.
+"""
+
+import collections
+import enum
+
+from buckthorn_core import claims
+from buckthorn_core import ids
+
+MAX_KEYS = 32_768
+MAX_KEPT_ANSWER_BYTES = 4 * 1_048_576
+MIN_RETRY_MS = 1_000
+MAX_RETRY_MS = 5_000
+
+
+class State(enum.Enum):
+    """State of a key."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    RELEASED = "released"
+    UNKNOWN = "unknown"
+
+
+_STATES = {
+    claims.Outcome.COMPLETED: State.COMPLETED,
+    claims.Outcome.RELEASED: State.RELEASED,
+    claims.Outcome.UNKNOWN: State.UNKNOWN,
+}
+
+
+class Entry:
+    """State of a key; times are log times in ms.
+
+    Attributes:
+        token: The claim that holds the key.
+        fingerprint: What the key is used for; empty if that is not known.
+        state: State of the key.
+        expires_ms: When the grant expires.
+        end_ms: When the request has ended at the latest.
+        until_ms: When the key is forgotten.
+        doubtful: Whether an older claim may have been missed.
+        final: The recorded end.
+    """
+
+    __slots__ = (
+        "doubtful",
+        "end_ms",
+        "expires_ms",
+        "final",
+        "fingerprint",
+        "state",
+        "token",
+        "until_ms",
+    )
+
+    def __init__(self, claim: claims.Claim, time_ms: int, doubtful: bool):
+        run_ms = max(0, min(claim.run_ms, claims.MAX_RUN_MS))
+        self.token = claim.token
+        self.fingerprint = claim.fingerprint
+        self.state = State.CLAIMED
+        self.expires_ms = time_ms + min(run_ms, claims.GRANT_MS)
+        self.end_ms = time_ms + run_ms
+        self.until_ms = self.end_ms + claims.LIFETIME_MS
+        self.doubtful = doubtful
+        self.final: claims.Final | None = None
+
+
+class Ledger:
+    """The keys of a partition.
+
+    Attributes:
+        time_ms: Log time of the last record.
+        next_offset: Offset of the next record.
+        blind_until_ms: Log time until which a claim may have been missed,
+            because the log dropped records earlier than agreed.
+    """
+
+    def __init__(self) -> None:
+        self.time_ms = 0
+        self.next_offset = ids.Offset(0)
+        self.blind_until_ms = 0
+        self._entries: collections.OrderedDict[bytes, Entry] = (
+            collections.OrderedDict()
+        )
+        self._kept: collections.OrderedDict[bytes, int] = (
+            collections.OrderedDict()
+        )
+        self._kept_bytes = 0
+        self._gap = False
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def skip_to(self, first: ids.Offset) -> None:
+        """Goes on at an offset; records below it are no longer in the log.
+
+        What is known of keys stays: it can only lead to refusals.
+        """
+        self._gap = first > self.next_offset
+        self.next_offset = first
+
+    def apply(
+        self,
+        offset: ids.Offset,
+        time_ms: int,
+        batch: claims.ClaimBatch | None,
+    ) -> list[bytes]:
+        """Applies the next record; None stands for one that is malformed.
+
+        Returns:
+            Tokens of claims that found the key taken.
+        """
+        time_ms = max(self.time_ms, time_ms)
+        if self._gap:
+            self._note_gap(offset, time_ms, batch)
+        self.time_ms = time_ms
+        self.next_offset = ids.Offset(offset + 1)
+        self._forget()
+        lost = []
+        for item in batch.items if batch else []:
+            if isinstance(item, claims.Final):
+                self._apply_final(item)
+            elif not self._apply_claim(item):
+                lost.append(item.token)
+        return lost
+
+    def look_up(
+        self, claim: claims.Claim, now_ms: int, lost: bool = False
+    ) -> claims.Answer | None:
+        """Returns the answer to a claim; None if it must be recorded first.
+
+        Args:
+            claim: The claim.
+            now_ms: The time, in ms since the epoch.
+            lost: Whether the claim is recorded and found the key taken.
+        """
+        entry = self._live(claim.key)
+        if entry is None:
+            return None
+        if entry.token == claim.token:
+            return self._answer_holder(entry)
+        expired = entry.state is State.RELEASED or entry.until_ms <= now_ms
+        if expired and not lost:
+            return None
+        if entry.fingerprint and entry.fingerprint != claim.fingerprint:
+            return claims.Answer(claims.Verdict.MISMATCH)
+        return _answer_other(entry, now_ms)
+
+    def settled(self, final: claims.Final) -> bool:
+        """Returns whether the end of a request is recorded."""
+        entry = self._live(final.key)
+        if entry is None or entry.token != final.token:
+            return False
+        return entry.state is not State.CLAIMED
+
+    def _answer_holder(self, entry: Entry) -> claims.Answer:
+        if entry.state is State.CLAIMED and not entry.doubtful:
+            return claims.Answer(
+                claims.Verdict.GRANTED, expires_ms=entry.expires_ms
+            )
+        if entry.state is State.COMPLETED:
+            return _completed(entry)
+        if entry.state is State.UNKNOWN:
+            return claims.Answer(claims.Verdict.UNKNOWN)
+        # Released before it was granted, or an older claim may exist.
+        return claims.Answer(claims.Verdict.UNAVAILABLE, retry_ms=MAX_RETRY_MS)
+
+    def _apply_claim(self, claim: claims.Claim) -> bool:
+        entry = self._live(claim.key)
+        if entry is not None:
+            if entry.token == claim.token:
+                return True
+            if entry.state is not State.RELEASED:
+                return False
+        doubtful = self.time_ms < self.blind_until_ms
+        self._put(claim.key, Entry(claim, self.time_ms, doubtful))
+        return True
+
+    def _apply_final(self, final: claims.Final) -> None:
+        entry = self._live(final.key)
+        if entry is None:
+            # The claim's append may take effect later; then it is void.
+            claim = claims.Claim(final.key, final.token, b"", 0)
+            entry = Entry(claim, self.time_ms, False)
+            self._put(final.key, entry)
+        if entry.token != final.token or entry.state is not State.CLAIMED:
+            return
+        entry.state = _STATES[final.outcome]
+        entry.until_ms = max(entry.until_ms, self.time_ms + claims.LIFETIME_MS)
+        entry.final = final
+        if final.answer is not None:
+            self._keep_answer(final.key, len(final.answer))
+
+    def _live(self, key: bytes) -> Entry | None:
+        entry = self._entries.get(key)
+        if entry is None or entry.until_ms <= self.time_ms:
+            return None
+        return entry
+
+    def _put(self, key: bytes, entry: Entry) -> None:
+        self._drop_answer(key)
+        self._entries[key] = entry
+        self._entries.move_to_end(key)
+
+    def _keep_answer(self, key: bytes, size: int) -> None:
+        self._kept[key] = size
+        self._kept_bytes += size
+        while self._kept_bytes > MAX_KEPT_ANSWER_BYTES:
+            oldest = next(iter(self._kept))
+            entry = self._entries[oldest]
+            final = entry.final
+            if final is not None:
+                entry.final = claims.Final(
+                    final.key, final.token, final.outcome, final.status
+                )
+            self._drop_answer(oldest)
+
+    def _drop_answer(self, key: bytes) -> None:
+        self._kept_bytes -= self._kept.pop(key, 0)
+
+    def _forget(self) -> None:
+        """Frees the memory of keys whose lifetime is over.
+
+        The order is that of the claims, so a key can wait here for one that
+        lives longer; `_live` does not return it.
+        """
+        while self._entries:
+            key, entry = next(iter(self._entries.items()))
+            if entry.until_ms > self.time_ms:
+                return
+            del self._entries[key]
+            self._drop_answer(key)
+
+    def _note_gap(
+        self,
+        offset: ids.Offset,
+        time_ms: int,
+        batch: claims.ClaimBatch | None,
+    ) -> None:
+        """Finds out how young the dropped records can be.
+
+        The first record that is left tells the time of the one before it, if
+        its writer had read that far. A time of 0 means that the writer found
+        the stream empty, so that the dropped records had passed the log's
+        retention.
+        """
+        self._gap = False
+        newest_ms = time_ms
+        if batch is not None and batch.seen == offset:
+            newest_ms = batch.seen_ms
+        if newest_ms:
+            self.blind_until_ms = max(
+                self.blind_until_ms, newest_ms + claims.LONGEST_LIFE_MS
+            )
+
+
+def _answer_other(entry: Entry, now_ms: int) -> claims.Answer:
+    if entry.state is State.COMPLETED:
+        return _completed(entry)
+    # A winner that was released meanwhile leaves the key free to be claimed
+    # again, as one that is in progress may do.
+    running = entry.state is State.CLAIMED and now_ms < entry.end_ms
+    if running or entry.state is State.RELEASED:
+        return _in_progress(entry, now_ms)
+    return claims.Answer(claims.Verdict.UNKNOWN)
+
+
+def _completed(entry: Entry) -> claims.Answer:
+    final = entry.final
+    assert final is not None
+    return claims.Answer(
+        claims.Verdict.COMPLETED,
+        status=final.status,
+        headers=final.headers,
+        body=final.answer,
+    )
+
+
+def _in_progress(entry: Entry, now_ms: int) -> claims.Answer:
+    left_ms = entry.end_ms - now_ms
+    return claims.Answer(
+        claims.Verdict.IN_PROGRESS,
+        retry_ms=max(MIN_RETRY_MS, min(MAX_RETRY_MS, left_ms)),
+    )
--- a/packages/core/buckthorn_core/messages.py
+++ b/packages/core/buckthorn_core/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from buckthorn_core import claims
 from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -152,6 +153,46 @@
     digest: int
 
 
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """Asks the owner of a partition for an operation key.
+
+    It is sent again, unchanged, while the answer is pending.
+    """
+
+    claim: claims.Claim
+
+
+class ClaimReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="claim_reply"
+):
+    """What became of the claim so far."""
+
+    answer: claims.Answer
+
+
+class Complete(msgspec.Struct, frozen=True, array_like=True, tag="complete"):
+    """Ends of claimed requests of one partition, releases among them.
+
+    It is sent again, unchanged, until the answer names the tokens.
+    """
+
+    finals: list[claims.Final]
+
+
+class CompleteReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="complete_reply"
+):
+    """Which ends are recorded in the log.
+
+    Attributes:
+        tokens: Tokens of the recorded ends.
+        address: Where the partition's owner is, if it is another daemon.
+    """
+
+    tokens: list[bytes]
+    address: ids.Address = ids.Address("")
+
+
 class StatusQuery(msgspec.Struct, frozen=True, array_like=True, tag="status"):
     """Asks for the versions in force below a daemon."""
 
@@ -188,6 +229,10 @@
     | ReportReply
     | Summary
     | SummaryReply
+    | Claim
+    | ClaimReply
+    | Complete
+    | CompleteReply
     | StatusQuery
     | StatusReply
 )
--- /dev/null
+++ b/packages/core/buckthorn_core/operations.py
@@ -0,0 +1,375 @@
+"""The owner of a partition of operation keys.
+
+The owner grants a claim only after it has read the claim in the log's stream
+and found no earlier one of the key. Two owners at once are therefore
+harmless: both read the same order. Whoever drives an owner asks it for the
+next step, carries the step out, and reports what came of it.
+"""
+
+import collections
+import random
+from typing import NamedTuple
+
+from buckthorn_core import claims
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import ledgers
+from buckthorn_core import ports
+from buckthorn_core import records
+
+BATCH_S = 0.02
+# Ends of requests are in no hurry; most go along with a claim.
+FINAL_WAIT_S = 0.2
+APPEND_SPACING_S = 0.08
+REFRESH_S = 1.0
+ACTIVE_S = 30.0
+# A holder asks again long before this time has passed.
+FORGET_S = 5.0
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 5.0
+READ_AGAIN_S = 0.01
+MAX_ITEMS = 512
+MAX_BATCH_BYTES = 524_288
+ITEM_OVERHEAD_BYTES = 64
+MAX_WAITING = 2_048
+MAX_FINALS = 512
+MAX_SETTLED = 4_096
+MIN_POLL_MS = 5
+MAX_POLL_MS = 250
+SMOOTHING = 0.2
+
+
+class Read(NamedTuple):
+    """Step: read the stream from an offset on."""
+
+    start: ids.Offset
+
+
+class Append(NamedTuple):
+    """Step: append a record."""
+
+    batch: claims.ClaimBatch
+
+
+class _Waiter:
+    """A claim that is not decided.
+
+    Attributes:
+        claim: The claim.
+        first_s: When it was made.
+        asked_s: When its holder last asked.
+        lost: Whether it is recorded and found the key taken.
+        failed: Whether it is given up because the log can't be read.
+    """
+
+    __slots__ = ("asked_s", "claim", "failed", "first_s", "lost")
+
+    def __init__(self, claim: claims.Claim, now_s: float):
+        self.claim = claim
+        self.first_s = now_s
+        self.asked_s = now_s
+        self.lost = False
+        self.failed = False
+
+
+class Owner:
+    """Decides on the claims of a partition.
+
+    Attributes:
+        partition: The partition.
+        ledger: What has been read of its stream.
+    """
+
+    def __init__(
+        self,
+        partition: int,
+        daemon: ids.DaemonId,
+        key: bytes,
+        rng: random.Random,
+    ):
+        self.partition = partition
+        self.ledger = ledgers.Ledger()
+        self._daemon = daemon
+        self._key = key
+        self._rng = rng
+        self._waiting: dict[bytes, _Waiter] = {}
+        self._queue: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+        self._finals: dict[bytes, claims.Final] = {}
+        self._finals_since_s = 0.0
+        self._settled: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+        self._sent: claims.ClaimBatch | None = None
+        self._acknowledged: ids.Offset | None = None
+        self._busy = False
+        self._loaded = False
+        self._read_wanted = True
+        self._not_before_s = 0.0
+        self._append_from_s = 0.0
+        self._down_until_s = 0.0
+        self._failures = 0
+        self._read_s = float("-inf")
+        self._used_s = float("-inf")
+        self._decision_s = 2 * BATCH_S
+
+    # Messages of holders.
+
+    def claim(
+        self, claim: claims.Claim, now_s: float, now_ms: int
+    ) -> claims.Answer:
+        """Answers a claim; a holder repeats it while it is pending."""
+        self._used_s = now_s
+        waiter = self._waiting.get(claim.token)
+        if waiter is not None and waiter.failed:
+            self._drop(claim.token)
+            return self._unavailable(now_s)
+        answer = self._decide(claim, waiter, now_ms)
+        if answer is not None:
+            if waiter is not None:
+                spent_s = now_s - waiter.first_s
+                self._decision_s += SMOOTHING * (spent_s - self._decision_s)
+                self._drop(claim.token)
+            return answer
+        if waiter is not None:
+            waiter.asked_s = now_s
+            return claims.Answer(
+                claims.Verdict.PENDING, retry_ms=2 * MIN_POLL_MS
+            )
+        return self._admit(claim, now_s)
+
+    def finish(self, finals: list[claims.Final], now_s: float) -> list[bytes]:
+        """Takes ends of requests; a holder repeats them until they are settled.
+
+        Returns:
+            Tokens of those that are recorded.
+        """
+        self._used_s = now_s
+        done = []
+        for final in finals:
+            token = final.token
+            if token in self._settled or (
+                self._loaded and self.ledger.settled(final)
+            ):
+                done.append(token)
+            elif token not in self._finals and len(self._finals) < MAX_FINALS:
+                if not self._finals:
+                    self._finals_since_s = now_s
+                self._finals[token] = final
+        return done
+
+    def idle_s(self, now_s: float) -> float:
+        """Returns how long no holder has asked anything, in seconds."""
+        return now_s - self._used_s
+
+    # Steps.
+
+    def next_step(self, now_s: float, now_ms: int) -> Read | Append | None:
+        """Returns what to do now; its result must be reported."""
+        if self._busy or now_s < max(self._not_before_s, self._down_until_s):
+            return None
+        step: Read | Append | None = None
+        if self._must_read(now_s):
+            step = Read(self.ledger.next_offset)
+        elif self._sent is not None:
+            # Its answer was lost, and reading has not found it. Should both
+            # take effect, the second changes nothing.
+            if now_s >= self._append_from_s:
+                step = self._append(self._sent, now_s)
+        elif self._batch_due(now_s):
+            step = self._make_batch(now_s, now_ms)
+        if step is not None:
+            self._busy = True
+        return step
+
+    def on_appended(self, offset: ids.Offset) -> None:
+        """Notes that a record was appended."""
+        self._busy = False
+        self._acknowledged = offset
+        self._read_wanted = True
+
+    def on_append_failed(self) -> None:
+        """Notes that an append failed, or that its answer was lost."""
+        self._busy = False
+        self._read_wanted = True
+
+    def on_read_failed(self, now_s: float) -> None:
+        """Notes that the log can't be read: no claim can be granted."""
+        self._busy = False
+        self._failures += 1
+        most_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(self._failures, 8))
+        self._down_until_s = now_s + most_s * (0.5 + self._rng.random() / 2)
+        for waiter in self._waiting.values():
+            waiter.failed = True
+        self._queue.clear()
+        self._forget(now_s)
+
+    def on_read(self, batch: ports.LogBatch, now_s: float) -> None:
+        """Takes the records that were read."""
+        self._busy = False
+        self._failures = 0
+        ledger = self.ledger
+        if not batch.first <= ledger.next_offset <= batch.end:
+            # Records were dropped, or the log has lost its end.
+            ledger.skip_to(batch.first)
+        for record in batch.records:
+            if record.offset == ledger.next_offset:
+                self._apply(record)
+        if ledger.next_offset >= batch.end:
+            self._at_end(now_s)
+        self._forget(now_s)
+
+    def _must_read(self, now_s: float) -> bool:
+        wanted = bool(self._queue or self._finals or self._sent)
+        if not self._loaded:
+            return wanted or self.idle_s(now_s) < ACTIVE_S
+        if self._read_wanted:
+            return True
+        return (
+            self.idle_s(now_s) < ACTIVE_S and now_s - self._read_s >= REFRESH_S
+        )
+
+    def _at_end(self, now_s: float) -> None:
+        self._read_s = now_s
+        self._loaded = True
+        self._read_wanted = False
+        if self._sent is None or self._acknowledged is None:
+            return
+        if self.ledger.next_offset <= self._acknowledged:
+            # The log's read is behind its append.
+            self._read_wanted = True
+            self._not_before_s = now_s + READ_AGAIN_S
+            return
+        # The record is gone although it was acknowledged; append it again.
+        self._acknowledged = None
+
+    def _apply(self, record: ports.LogRecord) -> None:
+        batch = self._decode(record.data)
+        lost = self.ledger.apply(record.offset, record.time_ms, batch)
+        for token in lost:
+            if token in self._waiting:
+                self._waiting[token].lost = True
+        if batch is None:
+            return
+        for item in batch.items:
+            if isinstance(item, claims.Final):
+                self._finals.pop(item.token, None)
+                self._settled[item.token] = None
+            else:
+                self._queue.pop(item.token, None)
+        while len(self._settled) > MAX_SETTLED:
+            self._settled.popitem(last=False)
+        if self._sent is not None and batch.id == self._sent.id:
+            self._sent = None
+            self._acknowledged = None
+
+    def _decode(self, data: bytes) -> claims.ClaimBatch | None:
+        try:
+            record = records.decode(data)
+        except errors.LogError:
+            return None
+        if not isinstance(record, claims.ClaimBatch):
+            return None
+        return record if records.is_signed(record, self._key) else None
+
+    def _decide(
+        self, claim: claims.Claim, waiter: _Waiter | None, now_ms: int
+    ) -> claims.Answer | None:
+        if not self._loaded:
+            return None
+        lost = waiter is not None and waiter.lost
+        answer = self.ledger.look_up(claim, now_ms, lost)
+        if answer is None and lost:
+            # The key that won has been forgotten since.
+            return claims.Answer(
+                claims.Verdict.UNAVAILABLE, retry_ms=ledgers.MIN_RETRY_MS
+            )
+        return answer
+
+    def _admit(self, claim: claims.Claim, now_s: float) -> claims.Answer:
+        if now_s < self._down_until_s:
+            return self._unavailable(now_s)
+        if (
+            len(self._waiting) >= MAX_WAITING
+            or len(self.ledger) + len(self._waiting) >= ledgers.MAX_KEYS
+        ):
+            return claims.Answer(
+                claims.Verdict.FULL, retry_ms=ledgers.MAX_RETRY_MS
+            )
+        self._waiting[claim.token] = _Waiter(claim, now_s)
+        self._queue[claim.token] = now_s
+        poll_ms = int(self._decision_s * 1000)
+        return claims.Answer(
+            claims.Verdict.PENDING,
+            retry_ms=max(MIN_POLL_MS, min(MAX_POLL_MS, poll_ms)),
+        )
+
+    def _unavailable(self, now_s: float) -> claims.Answer:
+        wait_ms = int((self._down_until_s - now_s) * 1000)
+        return claims.Answer(
+            claims.Verdict.UNAVAILABLE,
+            retry_ms=max(ledgers.MIN_RETRY_MS, wait_ms),
+        )
+
+    def _drop(self, token: bytes) -> None:
+        self._waiting.pop(token, None)
+        self._queue.pop(token, None)
+
+    def _forget(self, now_s: float) -> None:
+        """Drops claims whose holders no longer ask."""
+        gone = [
+            token
+            for token, waiter in self._waiting.items()
+            if now_s - waiter.asked_s > FORGET_S
+        ]
+        for token in gone:
+            self._drop(token)
+
+    def _batch_due(self, now_s: float) -> bool:
+        if now_s < self._append_from_s:
+            return False
+        if self._queue:
+            oldest_s = next(iter(self._queue.values()))
+            return now_s >= oldest_s + BATCH_S
+        return bool(self._finals) and (
+            now_s >= self._finals_since_s + FINAL_WAIT_S
+        )
+
+    def _make_batch(self, now_s: float, now_ms: int) -> Append | None:
+        self._forget(now_s)
+        items: list[claims.Claim | claims.Final] = []
+        size = 0
+        for final in self._finals.values():
+            size += ITEM_OVERHEAD_BYTES + len(final.answer or b"")
+            if size > MAX_BATCH_BYTES or len(items) >= MAX_ITEMS // 2:
+                break
+            items.append(final)
+        for token in list(self._queue):
+            if len(items) >= MAX_ITEMS:
+                break
+            claim = self._waiting[token].claim
+            if self.ledger.look_up(claim, now_ms) is None:
+                items.append(claim)
+            else:
+                # The stream has answered it while it waited.
+                self._queue.pop(token)
+        if not items:
+            return None
+        batch = claims.ClaimBatch(
+            id=self._rng.randbytes(claims.TOKEN_BYTES),
+            writer=self._daemon,
+            seen=self.ledger.next_offset,
+            seen_ms=self.ledger.time_ms,
+            items=items,
+        )
+        return self._append(batch, now_s)
+
+    def _append(self, batch: claims.ClaimBatch, now_s: float) -> Append:
+        signed = records.sign(batch, self._key)
+        assert isinstance(signed, claims.ClaimBatch)
+        self._sent = signed
+        self._acknowledged = None
+        self._append_from_s = now_s + APPEND_SPACING_S
+        self._finals_since_s = now_s
+        return Append(signed)
--- a/packages/core/buckthorn_core/records.py
+++ b/packages/core/buckthorn_core/records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from buckthorn_core import claims
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import meshes
@@ -61,7 +62,8 @@
     remote_addresses: list[ids.Address]
 
 
-Record = Publication | Checkpoint | Contacts
+Record = Publication | Checkpoint | Contacts | claims.ClaimBatch
+_Signed = Publication | Checkpoint | claims.ClaimBatch
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -99,9 +101,7 @@
         raise errors.LogError(errors.Code.BAD_RECORD, str(exc)) from exc
 
 
-def sign(
-    record: Publication | Checkpoint, key: bytes
-) -> Publication | Checkpoint:
+def sign(record: _Signed, key: bytes) -> _Signed:
     """Returns the record with its authentication code."""
     plain = msgspec.structs.replace(record, mac=b"")
     return msgspec.structs.replace(
@@ -109,7 +109,7 @@
     )
 
 
-def is_signed(record: Publication | Checkpoint, key: bytes) -> bool:
+def is_signed(record: _Signed, key: bytes) -> bool:
     """Returns whether the record carries the right authentication code."""
     plain = msgspec.structs.replace(record, mac=b"")
     return signing.verify(key, _encoder.encode(plain), record.mac)
--- /dev/null
+++ b/tests/core/operation_fakes.py
@@ -0,0 +1,140 @@
+"""Fakes for tests of operations: a log with faults, and holders of claims."""
+
+import random
+
+from buckthorn_core import claims
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import operations
+from buckthorn_core import ports
+from buckthorn_core import records
+
+KEY = b"test-key-0123456789"
+RUN_MS = 5_000
+EPOCH_S = 1_000_000.0
+
+
+class FakeLog:
+    """One stream. A fault is taken from `faults` for each append.
+
+    Faults: "" none, "refuse" no effect, "lose" effect without an answer,
+    "late" effect without an answer when `land` is called.
+    """
+
+    def __init__(self):
+        self.now_s = EPOCH_S
+        self.first = 0
+        self.records = []
+        self.down = False
+        self.late = []
+        self.appends = 0
+
+    @property
+    def now_ms(self):
+        return int(self.now_s * 1000)
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def append(self, data, fault=""):
+        self.appends += 1
+        if self.down or fault == "refuse":
+            raise errors.LogError(errors.Code.LOG_UNAVAILABLE, "down")
+        if fault == "late":
+            self.late.append(data)
+            raise errors.LogError(errors.Code.LOG_UNAVAILABLE, "timed out")
+        offset = ids.Offset(self.end)
+        self.records.append(ports.LogRecord(offset, self.now_ms, data))
+        if fault == "lose":
+            raise errors.LogError(errors.Code.LOG_UNAVAILABLE, "answer lost")
+        return offset
+
+    def land(self):
+        late, self.late = self.late, []
+        for data in late:
+            self.append(data)
+
+    def drop(self, count):
+        self.first += len(self.records[:count])
+        del self.records[:count]
+
+    def expire(self, retention_s):
+        oldest_ms = self.now_ms - retention_s * 1000
+        self.drop(sum(r.time_ms < oldest_ms for r in self.records))
+
+    def read(self, start, limit=3):
+        if self.down:
+            raise errors.LogError(errors.Code.LOG_UNAVAILABLE, "down")
+        index = max(0, start - self.first)
+        return ports.LogBatch(
+            ids.Offset(self.first),
+            ids.Offset(self.end),
+            self.records[index : index + limit],
+        )
+
+
+def make_owner(name, factory=operations.Owner):
+    return factory(0, ids.DaemonId(name), KEY, random.Random(name))
+
+
+def make_claim(key, token, use="POST /orders/1"):
+    return claims.Claim(
+        claims.digest_key(ids.OperationKey(key)),
+        token.encode(),
+        claims.fingerprint(*use.split()),
+        RUN_MS,
+    )
+
+
+def make_final(claim, outcome, answer=b"done"):
+    completed = outcome is claims.Outcome.COMPLETED
+    return claims.Final(
+        claim.key, claim.token, outcome, 200, [], answer if completed else None
+    )
+
+
+def step(owner, log, fault=""):
+    """Carries out an owner's next step; returns whether there was one."""
+    todo = owner.next_step(log.now_s, log.now_ms)
+    if todo is None:
+        return False
+    if isinstance(todo, operations.Append):
+        try:
+            owner.on_appended(log.append(records.encode(todo.batch), fault))
+        except errors.LogError:
+            owner.on_append_failed()
+        return True
+    try:
+        owner.on_read(log.read(todo.start), log.now_s)
+    except errors.LogError:
+        owner.on_read_failed(log.now_s)
+    return True
+
+
+def settle(owner, log, faults=(), seconds=1.0):
+    """Lets time pass in small steps, and carries out all that is due."""
+    faults = list(faults)
+    end_s = log.now_s + seconds
+    while log.now_s < end_s:
+        before = log.appends
+        while step(owner, log, faults[0] if faults else ""):
+            if log.appends > before and faults:
+                faults.pop(0)
+            before = log.appends
+        log.now_s += 0.01
+
+
+def ask(owner, log, claim, faults=(), seconds=1.0):
+    """Claims, waits, and returns the decision."""
+    owner.claim(claim, log.now_s, log.now_ms)
+    settle(owner, log, faults, seconds)
+    return owner.claim(claim, log.now_s, log.now_ms)
+
+
+def end(owner, log, claim, outcome, seconds=1.0):
+    """Reports the end of a request; returns whether it was recorded."""
+    final = make_final(claim, outcome)
+    owner.finish([final], log.now_s)
+    settle(owner, log, (), seconds)
+    return owner.finish([final], log.now_s) == [claim.token]
