Run requests with an operation key at most once

Egress sent every non-idempotent request without asking whether its key had run before. It now claims the key from the owner of the key's partition, sends the grant's expiry along, and reports the end until it is recorded. A daemon that is not the owner names the owner, because handlers of messages must not block on a forwarded one.

With real processes the same key sent to two daemons in two regions, and again after a SIGKILL of the daemon that was holder and owner, ran once.

--- a/packages/adapters/buckthorn_adapters/servers.py
+++ b/packages/adapters/buckthorn_adapters/servers.py
@@ -39,6 +39,8 @@
         body: The request's body.
         started: Whether the answer's headers have been sent.
         status: Status of the answer; 0 before it.
+        answer_headers: Headers of the answer, once it has started.
+        tap: Receives each piece of the answer's body before it is sent.
     """
 
     def __init__(self, req: Any):
@@ -55,6 +57,8 @@
         req.rfile = self.body
         self.started = False
         self.status = 0
+        self.answer_headers: list[tuple[str, str]] = []
+        self.tap: Callable[[bytes], None] | None = None
 
     def _body_length(self) -> int | None:
         if self._req.chunked_read:
@@ -88,9 +92,10 @@
         req = self._req
         phrase = http.HTTPStatus(status).phrase if status in _STATUSES else ""
         req.status = f"{status} {phrase}".encode("latin-1")
+        self.answer_headers = list(headers)
         req.outheaders.extend(
             (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in headers
+            for name, value in self.answer_headers
         )
         if self.body.remaining:
             # What is left of the body is not worth reading; without this
@@ -104,6 +109,8 @@
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the answer's body."""
+        if self.tap is not None:
+            self.tap(data)
         if self.method != "HEAD":
             self._req.write(data)
 
@@ -135,6 +142,10 @@
         headers = []
         if exc.trait.not_run:
             headers.append((NOT_RUN_HEADER, exc.code.value))
+        elif exc.code is errors.Code.ALREADY_COMPLETED:
+            headers.append((OUTCOME_HEADER, "completed"))
+        elif exc.code is errors.Code.IN_PROGRESS:
+            pass  # Retry-After says when the outcome may be known.
         elif exc.trait.http_status in (409, 502, 504):
             headers.append((OUTCOME_HEADER, "unknown"))
         if exc.retry_after_s is not None:
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -29,6 +29,9 @@
     UPSTREAM_SHED = "upstream_shed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     IN_PROGRESS = "in_progress"
+    ALREADY_COMPLETED = "already_completed"
+    KEY_REUSED = "key_reused"
+    KEYS_FULL = "keys_full"
     LOG_UNAVAILABLE = "log_unavailable"
     LOG_GAP = "log_gap"
     PEER_UNAVAILABLE = "peer_unavailable"
@@ -66,6 +69,9 @@
     Code.UPSTREAM_SHED: Trait(503, True),
     Code.OUTCOME_UNKNOWN: Trait(409, False),
     Code.IN_PROGRESS: Trait(409, False),
+    Code.ALREADY_COMPLETED: Trait(409, False),
+    Code.KEY_REUSED: Trait(422, True),
+    Code.KEYS_FULL: Trait(503, True),
     Code.LOG_UNAVAILABLE: Trait(503, True),
     Code.PEER_UNAVAILABLE: Trait(503, True),
 }
--- a/packages/core/buckthorn_core/operations.py
+++ b/packages/core/buckthorn_core/operations.py
@@ -163,6 +163,11 @@
         """Returns how long no holder has asked anything, in seconds."""
         return now_s - self._used_s
 
+    @property
+    def has_work(self) -> bool:
+        """Whether a claim or an end of a request waits for the log."""
+        return bool(self._queue or self._finals or self._sent)
+
     # Steps.
 
     def next_step(self, now_s: float, now_ms: int) -> Read | Append | None:
@@ -221,9 +226,8 @@
         self._forget(now_s)
 
     def _must_read(self, now_s: float) -> bool:
-        wanted = bool(self._queue or self._finals or self._sent)
         if not self._loaded:
-            return wanted or self.idle_s(now_s) < ACTIVE_S
+            return self.has_work or self.idle_s(now_s) < ACTIVE_S
         if self._read_wanted:
             return True
         return (
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/claiming.py
@@ -0,0 +1,315 @@
+"""The holder's side of operation keys: claim, run, report the end."""
+
+from collections.abc import Callable
+import os
+import threading
+import time
+from typing import Protocol
+
+from buckthorn_adapters import servers
+from buckthorn_core import claims
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_daemon import headers
+from buckthorn_daemon import owner_clients
+from buckthorn_daemon import owning
+from buckthorn_daemon import state
+
+# A caller hears within this time that its key can't be claimed.
+CLAIM_WAIT_S = 3.0
+LOST_PAUSE_S = 0.05
+MAX_MOVES = 4
+FLUSH_S = 0.1
+FINAL_AGAIN_S = 0.35
+FINAL_AGAIN_MAX_S = 5.0
+MAX_FINALS = 512
+FINALS_PER_MESSAGE = 64
+DRAIN_S = 3.0
+_NOT_CLAIMED = (claims.Verdict.UNAVAILABLE, claims.Verdict.FULL)
+_KEPT_HEADERS = frozenset({"content-type", "content-encoding", "location"})
+
+
+class Call(Protocol):
+    """A request of a caller, as far as a claim needs it."""
+
+    exchange: servers.Exchange
+    idempotent: bool
+    deadline_s: float
+    expires_ms: int | None
+
+
+class _Recorder:
+    """Keeps a small answer while it is passed on."""
+
+    def __init__(self, exchange: servers.Exchange):
+        self._exchange = exchange
+        self._data = b""
+        self._fits = True
+        exchange.tap = self._add
+
+    def _add(self, data: bytes) -> None:
+        if len(self._data) + len(data) > claims.MAX_ANSWER_BYTES:
+            self._fits = False
+        if self._fits:
+            self._data += data
+
+    @property
+    def whole(self) -> bool:
+        """Whether all bytes of the answer are known to be kept."""
+        lengths = [
+            value
+            for name, value in self._exchange.answer_headers
+            if name.lower() == "content-length"
+        ]
+        return self._fits and lengths == [str(len(self._data))]
+
+    def final(self, claim: claims.Claim) -> claims.Final:
+        """Returns the record of a completed request."""
+        kept = [
+            (name, value)
+            for name, value in self._exchange.answer_headers
+            if name.lower() in _KEPT_HEADERS
+        ]
+        return claims.Final(
+            claim.key,
+            claim.token,
+            claims.Outcome.COMPLETED,
+            self._exchange.status,
+            kept,
+            self._data if self._fits else None,
+        )
+
+
+class _Pending:
+    """The end of a request that is not known to be recorded."""
+
+    def __init__(self, final: claims.Final):
+        self.final = final
+        self.next_s = 0.0
+        self.pause_s = FINAL_AGAIN_S
+
+    def sent(self, now_s: float) -> None:
+        """Plans the next message."""
+        self.next_s = now_s + self.pause_s
+        self.pause_s = min(FINAL_AGAIN_MAX_S, 2 * self.pause_s)
+
+
+class Claimer:
+    """Claims operation keys for the requests of callers."""
+
+    def __init__(self, shared: state.State, owners: owning.Owners):
+        self._shared = shared
+        self._peers = owner_clients.OwnerClient(shared, owners)
+        self._lock = threading.Lock()
+        self._pending: dict[bytes, _Pending] = {}
+
+    def run(self, call: Call, send: Callable[[], None]) -> None:
+        """Sends a request; one with an operation key runs at most once.
+
+        Raises:
+            errors.RequestError: The key is taken or can't be claimed, or the
+                request failed.
+        """
+        key = _key_of(call)
+        if key is None:
+            send()
+            return
+        now_s = time.monotonic()
+        run_s = min(call.deadline_s - now_s, claims.MAX_RUN_MS / 1000)
+        call.deadline_s = now_s + run_s
+        exchange = call.exchange
+        claim = claims.Claim(
+            claims.digest_key(key),
+            os.urandom(claims.TOKEN_BYTES),
+            claims.fingerprint(exchange.method, exchange.path),
+            max(0, int(run_s * 1000)),
+        )
+        answer = self._claim(claim, now_s + min(CLAIM_WAIT_S, run_s / 2))
+        metrics = self._shared.metrics
+        metrics.count("buckthorn_claims", verdict=answer.verdict.value)
+        metrics.record("buckthorn_claim", time.monotonic() - now_s)
+        if answer.verdict is claims.Verdict.GRANTED:
+            call.expires_ms = answer.expires_ms
+            self._run_claimed(exchange, claim, send)
+        elif answer.verdict is claims.Verdict.COMPLETED:
+            _answer_again(exchange, answer)
+        else:
+            raise _refusal(answer)
+
+    def _run_claimed(
+        self,
+        exchange: servers.Exchange,
+        claim: claims.Claim,
+        send: Callable[[], None],
+    ) -> None:
+        recorder = _Recorder(exchange)
+        try:
+            send()
+        except errors.BuckthornError as exc:
+            not_run = exc.trait.not_run and not exchange.started
+            self._finish(
+                _end(
+                    claim,
+                    claims.Outcome.RELEASED
+                    if not_run
+                    else claims.Outcome.UNKNOWN,
+                )
+            )
+            raise
+        except BaseException:
+            # The caller has gone; what it missed may be known nevertheless.
+            final = _end(claim, claims.Outcome.UNKNOWN)
+            if exchange.started and recorder.whole:
+                final = recorder.final(claim)
+            self._finish(final)
+            raise
+        self._finish(recorder.final(claim))
+
+    # Claims.
+
+    def _claim(self, claim: claims.Claim, end_s: float) -> claims.Answer:
+        """Claims a key; a claim that is given up is released."""
+        address: ids.Address | None = None
+        recorded = False
+        moves = 0
+        while (left_s := end_s - time.monotonic()) > 0:
+            pause_s = 0.0
+            try:
+                answer = self._peers.claim(claim, address, left_s)
+            except errors.PeerError:
+                # The message may have arrived. It is safe to send it again,
+                # also to another owner, because the token is the same.
+                recorded = True
+                address = None
+                time.sleep(min(LOST_PAUSE_S, left_s))
+                continue
+            if answer.verdict is claims.Verdict.MOVED:
+                address = answer.address
+                moves += 1
+                pause_s = LOST_PAUSE_S if moves > MAX_MOVES else 0.0
+            elif answer.verdict is claims.Verdict.PENDING:
+                recorded = True
+                pause_s = answer.retry_ms / 1000
+            elif answer.verdict in _NOT_CLAIMED:
+                break
+            else:
+                return answer
+            time.sleep(max(0.0, min(pause_s, left_s)))
+        else:
+            answer = claims.Answer(claims.Verdict.UNAVAILABLE, retry_ms=1_000)
+        if recorded:
+            self._finish(_end(claim, claims.Outcome.RELEASED))
+        return answer
+
+    # Ends of requests.
+
+    def _finish(self, final: claims.Final) -> None:
+        with self._lock:
+            if len(self._pending) >= MAX_FINALS:
+                # The key of the dropped one stays claimed: its callers hear
+                # that the outcome is unknown.
+                self._pending.pop(next(iter(self._pending)))
+                self._shared.metrics.count("buckthorn_finals_dropped")
+            self._pending[final.token] = _Pending(final)
+
+    def flush(self) -> None:
+        """Sends ends of requests to the owners until they are recorded."""
+        now_s = time.monotonic()
+        due: dict[int, list[_Pending]] = {}
+        with self._lock:
+            for pending in self._pending.values():
+                if pending.next_s <= now_s:
+                    partition = claims.partition_of(pending.final.key)
+                    due.setdefault(partition, []).append(pending)
+        for partition, found in due.items():
+            batch = found[:FINALS_PER_MESSAGE]
+            for pending in batch:
+                pending.sent(now_s)
+            try:
+                tokens = self._peers.finish(
+                    partition, [pending.final for pending in batch]
+                )
+            except errors.PeerError:
+                continue
+            with self._lock:
+                for token in tokens:
+                    self._pending.pop(token, None)
+
+    def drain(self) -> None:
+        """Waits for a short time until all ends are recorded."""
+        end_s = time.monotonic() + DRAIN_S
+        while self._pending and time.monotonic() < end_s:
+            self.flush()
+            time.sleep(FLUSH_S)
+
+
+def _key_of(call: Call) -> ids.OperationKey | None:
+    """Returns the key by which a request has to be claimed."""
+    if call.idempotent:
+        return None
+    text = call.exchange.headers.get(headers.OPERATION_KEY.lower(), "").strip()
+    if len(text) > claims.MAX_KEY_CHARS:
+        raise errors.RequestError(
+            errors.Code.BAD_REQUEST,
+            f"{headers.OPERATION_KEY} is over {claims.MAX_KEY_CHARS}"
+            " characters",
+        )
+    return ids.OperationKey(text) if text else None
+
+
+def _end(claim: claims.Claim, outcome: claims.Outcome) -> claims.Final:
+    return claims.Final(claim.key, claim.token, outcome)
+
+
+def _answer_again(exchange: servers.Exchange, answer: claims.Answer) -> None:
+    """Sends the recorded answer.
+
+    Raises:
+        errors.RequestError: The answer was not kept.
+    """
+    if answer.body is None:
+        raise errors.RequestError(
+            errors.Code.ALREADY_COMPLETED,
+            f"the request has run with status {answer.status}; its answer was"
+            " too large to be kept",
+        )
+    kept = {name.lower(): value for name, value in answer.headers}
+    content_type = kept.pop("content-type", "application/octet-stream")
+    exchange.answer(
+        answer.status,
+        answer.body,
+        content_type,
+        [*kept.items(), (servers.OUTCOME_HEADER, "recorded")],
+    )
+
+
+_REFUSALS = {
+    claims.Verdict.IN_PROGRESS: (
+        errors.Code.IN_PROGRESS,
+        "a request with this key is in progress",
+    ),
+    claims.Verdict.UNKNOWN: (
+        errors.Code.OUTCOME_UNKNOWN,
+        "it is not known whether a request with this key has run",
+    ),
+    claims.Verdict.MISMATCH: (
+        errors.Code.KEY_REUSED,
+        "the key belongs to a request with another method or path",
+    ),
+    claims.Verdict.FULL: (
+        errors.Code.KEYS_FULL,
+        "the owner of the key holds as many keys as it can",
+    ),
+}
+
+
+def _refusal(answer: claims.Answer) -> errors.RequestError:
+    code, text = _REFUSALS.get(
+        answer.verdict,
+        (
+            errors.Code.LOG_UNAVAILABLE,
+            "the key can't be claimed in the log now",
+        ),
+    )
+    retry_s = answer.retry_ms / 1000 if answer.retry_ms else None
+    return errors.RequestError(code, text, retry_s)
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -12,11 +12,13 @@
 from buckthorn_core import messages
 from buckthorn_core import traffic
 from buckthorn_daemon import admin
+from buckthorn_daemon import claiming
 from buckthorn_daemon import egress
 from buckthorn_daemon import gossiping
 from buckthorn_daemon import headers
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
+from buckthorn_daemon import owning
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
@@ -50,7 +52,9 @@
         self._distributor = relaying.Distributor(self.shared, self._reader)
         self._summariser = summarising.Summariser(self.shared)
         self._ingress = ingress.Ingress(self.shared)
-        self._egress = egress.Egress(self.shared)
+        self._owners = owning.Owners(self.shared, self._log)
+        self._claimer = claiming.Claimer(self.shared, self._owners)
+        self._egress = egress.Egress(self.shared, self._claimer)
         self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
@@ -83,6 +87,7 @@
             ingress.CONTINUE_PERIOD_S * 0.8,
             self._ingress.send_continues,
         )
+        add("finals", claiming.FLUSH_S, self._claimer.flush)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
         self.shared.on_version.append(report.wake)
@@ -102,6 +107,7 @@
         self._peer_server.start()
         self._http.start()
         self._admin_http.start()
+        self._owners.start()
         self._scheduler.start()
         _logger.info("started", daemon=self._cfg.daemon_id)
 
@@ -117,6 +123,7 @@
         self._egress.stop_admitting()
         while not (self._ingress.idle and self._egress.idle):
             time.sleep(DRAIN_POLL_S)
+        self._claimer.drain()
         with self.shared.lock:
             self.shared.membership.update_me(state=entries.MemberState.LEFT)
         time.sleep(LEFT_GOSSIP_S)
@@ -125,6 +132,7 @@
     def close(self) -> None:
         """Stops everything at once."""
         self._scheduler.close()
+        self._owners.close()
         self._http.close()
         self._admin_http.close()
         self._peer_server.close()
@@ -161,6 +169,8 @@
             messages.Pull: lambda m, e: distributor.on_pull(m),
             messages.Report: distributor.on_report,
             messages.Summary: lambda m, e: self._summariser.on_summary(m),
+            messages.Claim: self._owners.on_claim,
+            messages.Complete: self._owners.on_complete,
             messages.StatusQuery: lambda m, e: distributor.status(),
         }
 
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -18,6 +18,7 @@
 from buckthorn_core import meshes
 from buckthorn_core import retries
 from buckthorn_core import snapshots
+from buckthorn_daemon import claiming
 from buckthorn_daemon import headers
 from buckthorn_daemon import state
 
@@ -36,6 +37,8 @@
         body: The body, if it is small enough to be sent again.
         body_consumed: Whether bytes of a long body have been sent.
         tried: Daemons that it was sent to.
+        expires_ms: When its claim expires, in ms since the epoch; None
+            without a claim.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.body: bytes | None = None
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
+        self.expires_ms: int | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -74,8 +78,9 @@
 class Egress:
     """Sends callers' requests to daemons beside upstreams."""
 
-    def __init__(self, shared: state.State):
+    def __init__(self, shared: state.State, claimer: claiming.Claimer):
         self._shared = shared
+        self._claimer = claimer
         self._pools = upstreams.Pools()
         self._observations = choices.Observations()
         self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
@@ -111,7 +116,7 @@
         try:
             call = self._open(exchange)
             service = call.route.service
-            self._send(call)
+            self._claimer.run(call, lambda: self._send(call))
         except errors.BuckthornError as exc:
             self._shared.metrics.count(
                 "buckthorn_request_errors",
@@ -243,7 +248,10 @@
                 errors.Code.DEADLINE_PASSED, "the deadline has passed"
             )
         out = headers.for_ingress(
-            call.exchange, left_s, call.snapshot.version.number
+            call.exchange,
+            left_s,
+            call.snapshot.version.number,
+            call.expires_ms,
         )
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
--- a/packages/daemon/buckthorn_daemon/headers.py
+++ b/packages/daemon/buckthorn_daemon/headers.py
@@ -33,9 +33,7 @@
         "upgrade",
     }
 )
-_INTERNAL = frozenset(
-    {HOP.lower(), AWAIT.lower(), VERSION.lower(), EXPIRES.lower()}
-)
+_INTERNAL = frozenset({HOP.lower(), AWAIT.lower(), VERSION.lower()})
 
 
 def is_ingress(exchange: servers.Exchange) -> bool:
@@ -100,7 +98,10 @@
 
 
 def for_upstream(exchange: servers.Exchange, left_s: float) -> dict[str, str]:
-    """Returns the headers of a request to the upstream."""
+    """Returns the headers of a request to the upstream.
+
+    The expiry of a claim goes along, so that the upstream can check it too.
+    """
     found = {
         name: value
         for name, value in _end_to_end(exchange.headers).items()
@@ -111,10 +112,17 @@
 
 
 def for_ingress(
-    exchange: servers.Exchange, left_s: float, version: int
+    exchange: servers.Exchange,
+    left_s: float,
+    version: int,
+    expires_ms: int | None,
 ) -> dict[str, str]:
     """Returns the headers of a request to the daemon of an upstream."""
     found = for_upstream(exchange, left_s)
+    # Only a daemon may say when a claim expires.
+    found.pop(EXPIRES.lower(), None)
+    if expires_ms is not None:
+        found[EXPIRES] = str(expires_ms)
     found[HOP] = HOP_INGRESS
     found[VERSION] = str(version)
     return found
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -194,6 +194,8 @@
             raise errors.RequestError(
                 errors.Code.DEADLINE_PASSED, "the deadline has passed"
             )
+        # The claim may have expired while the request waited for a slot.
+        headers.check_expiry(exchange, time.time())
         address = ids.Address(f"127.0.0.1:{upstream.port}")
         lease = self._pools.take(address, proven=True)
         body = exchange.body.pieces() if exchange.body.remaining else None
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/owner_clients.py
@@ -0,0 +1,126 @@
+"""Messages to the owners of partitions of operation keys."""
+
+from buckthorn_core import claims
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import messages
+from buckthorn_core import traffic
+from buckthorn_daemon import owning
+from buckthorn_daemon import state
+
+REQUEST_TIMEOUT_S = 0.5
+MAX_MOVES = 4
+
+
+class OwnerClient:
+    """Finds the owner of a partition and sends it messages."""
+
+    def __init__(self, shared: state.State, owners: owning.Owners):
+        self._shared = shared
+        self._owners = owners
+        self._routes: dict[int, ids.Address] = {}
+
+    def claim(
+        self, claim: claims.Claim, address: ids.Address | None, left_s: float
+    ) -> claims.Answer:
+        """Asks the owner of a claim's key once.
+
+        Args:
+            claim: The claim.
+            address: Where another daemon said that the owner is.
+            left_s: Longest wait for the answer, in seconds.
+
+        Raises:
+            errors.PeerError: There was no answer; the claim may have arrived.
+        """
+        shared = self._shared
+        partition = claims.partition_of(claim.key)
+        if address is None:
+            address = self._route(partition)
+        elif shared.cfg.region != shared.cfg.log_region:
+            self._routes[partition] = address
+        if address is None:
+            return self._owners.claim(claim, shared.cfg.region)
+        reply = self._request(
+            partition, address, messages.Claim(claim), max(0.01, left_s)
+        )
+        if not isinstance(reply, messages.ClaimReply):
+            raise errors.PeerError(
+                errors.Code.BAD_MESSAGE, "the answer is not one to a claim"
+            )
+        return reply.answer
+
+    def finish(self, partition: int, finals: list[claims.Final]) -> list[bytes]:
+        """Reports ends of requests and returns the tokens of recorded ones.
+
+        Raises:
+            errors.PeerError: The owner did not answer.
+        """
+        address = self._route(partition)
+        shared = self._shared
+        for _ in range(MAX_MOVES):
+            if address is None:
+                reply = self._owners.finish(finals, shared.cfg.region)
+            else:
+                answer = self._request(
+                    partition, address, messages.Complete(finals)
+                )
+                if not isinstance(answer, messages.CompleteReply):
+                    return []
+                reply = answer
+            if not reply.address:
+                return reply.tokens
+            address = reply.address
+        return []
+
+    def _request(
+        self,
+        partition: int,
+        address: ids.Address,
+        message: messages.Claim | messages.Complete,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> messages.Payload:
+        try:
+            return self._shared.client.request(
+                address,
+                message,
+                self._scope(),
+                min(REQUEST_TIMEOUT_S, timeout_s),
+            ).payload
+        except errors.PeerError:
+            self._routes.pop(partition, None)
+            raise
+
+    def _route(self, partition: int) -> ids.Address | None:
+        """Returns whom to ask; None means this daemon.
+
+        Daemons of other regions ask any contact of the log's region, which
+        names the owner.
+
+        Raises:
+            errors.PeerError: Nobody who could know the owner is known.
+        """
+        shared = self._shared
+        cfg = shared.cfg
+        if cfg.region == cfg.log_region:
+            member = self._owners.locate(partition)
+            if member is None or member.id == cfg.daemon_id:
+                return None
+            return member.peer_address
+        known = self._routes.get(partition)
+        if known is not None:
+            return known
+        with shared.lock:
+            entry = shared.table.entries.get(f"r/{cfg.log_region}")
+        if not isinstance(entry, entries.RegionContacts) or not entry.addresses:
+            raise errors.PeerError(
+                errors.Code.PEER_UNAVAILABLE, "the log's region is not known"
+            )
+        return shared.rng.choice(entry.addresses)
+
+    def _scope(self) -> traffic.Scope:
+        cfg = self._shared.cfg
+        if cfg.region == cfg.log_region:
+            return traffic.Scope.LOCAL
+        return traffic.Scope.REGION
--- /dev/null
+++ b/packages/daemon/buckthorn_daemon/owning.py
@@ -0,0 +1,251 @@
+"""The owners of partitions of operation keys, wired to log and messages."""
+
+from concurrent import futures
+import random
+import threading
+import time
+
+import loguru
+
+from buckthorn_core import claims
+from buckthorn_core import entries
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import messages
+from buckthorn_core import operations
+from buckthorn_core import ports
+from buckthorn_core import records
+from buckthorn_daemon import state
+
+WORKERS = 4
+# A read never holds more than this many records in memory.
+READ_LIMIT = 64
+BUSY_TICK_S = 0.005
+IDLE_TICK_S = 0.5
+# An owner that nobody asks gives its memory back; a new one replays.
+MOVED_KEEP_S = 60.0
+IDLE_KEEP_S = 1_200.0
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Owners:
+    """Answers claims of the partitions that this daemon owns.
+
+    The handlers only touch memory; a few threads of its own read and write
+    the log.
+    """
+
+    def __init__(self, shared: state.State, log: ports.LogService):
+        self._shared = shared
+        self._log = log
+        self._lock = threading.Lock()
+        self._owners: dict[int, operations.Owner] = {}
+        self._members: list[ids.DaemonId] = []
+        self._placed: dict[int, ids.DaemonId | None] = {}
+        self._wake = threading.Event()
+        self._stop = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(WORKERS, "owner")
+        self._thread = threading.Thread(
+            target=self._loop, name="owners", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts to work for claims."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops; what is in flight at the log is not waited for."""
+        self._stop.set()
+        self._wake.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=1.0)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def locate(self, partition: int) -> entries.Member | None:
+        """Returns a partition's owner; only in the log's region."""
+        shared = self._shared
+        if shared.cfg.region != shared.cfg.log_region:
+            return None
+        with shared.lock:
+            members = shared.membership.eligible()
+            if members != self._members:
+                self._members = list(members)
+                self._placed.clear()
+            if partition not in self._placed:
+                self._placed[partition] = claims.owner_of(partition, members)
+            owner = self._placed[partition]
+            return None if owner is None else shared.membership.member(owner)
+
+    def claim(
+        self, claim: claims.Claim, region: ids.RegionName
+    ) -> claims.Answer:
+        """Answers a claim, or says where the owner is.
+
+        Args:
+            claim: The claim.
+            region: Region of the holder.
+        """
+        partition = claims.partition_of(claim.key)
+        elsewhere = self._elsewhere(partition, region)
+        if elsewhere is not None:
+            return claims.Answer(claims.Verdict.MOVED, address=elsewhere)
+        with self._lock:
+            answer = self._owner(partition).claim(
+                claim, time.monotonic(), time.time_ns() // 1_000_000
+            )
+        self._wake.set()
+        return answer
+
+    def finish(
+        self, finals: list[claims.Final], region: ids.RegionName
+    ) -> messages.CompleteReply:
+        """Takes ends of requests of one partition."""
+        if not finals:
+            return messages.CompleteReply([])
+        partition = claims.partition_of(finals[0].key)
+        elsewhere = self._elsewhere(partition, region)
+        if elsewhere is not None:
+            return messages.CompleteReply([], elsewhere)
+        mine = [f for f in finals if claims.partition_of(f.key) == partition]
+        with self._lock:
+            tokens = self._owner(partition).finish(mine, time.monotonic())
+        self._wake.set()
+        return messages.CompleteReply(tokens)
+
+    def on_claim(
+        self, message: messages.Claim, envelope: messages.Envelope
+    ) -> messages.ClaimReply:
+        """Answers another daemon's claim."""
+        return messages.ClaimReply(self.claim(message.claim, envelope.region))
+
+    def on_complete(
+        self, message: messages.Complete, envelope: messages.Envelope
+    ) -> messages.CompleteReply:
+        """Takes ends of requests of another daemon."""
+        return self.finish(message.finals, envelope.region)
+
+    def _elsewhere(
+        self, partition: int, region: ids.RegionName
+    ) -> ids.Address | None:
+        """Returns the owner's address; None if it is this daemon.
+
+        Raises:
+            errors.PeerError: This daemon does not know the owner.
+        """
+        member = self.locate(partition)
+        if member is None:
+            raise errors.PeerError(
+                errors.Code.PEER_UNAVAILABLE, "the owner is not known here"
+            )
+        if member.id == self._shared.cfg.daemon_id:
+            return None
+        if region == member.region:
+            return member.peer_address
+        return member.remote_peer_address
+
+    def _owner(self, partition: int) -> operations.Owner:
+        owner = self._owners.get(partition)
+        if owner is None:
+            cfg = self._shared.cfg
+            owner = self._owners[partition] = operations.Owner(
+                partition, cfg.daemon_id, cfg.peer_key.encode(), random.Random()
+            )
+            _logger.info("owner_started", partition=partition)
+        return owner
+
+    def _loop(self) -> None:
+        while not self._stop.is_set():
+            try:
+                busy = self._dispatch()
+            except Exception:
+                _logger.exception("owners_crashed")
+                busy = False
+            self._wake.wait(BUSY_TICK_S if busy else IDLE_TICK_S)
+            if not busy:
+                self._wake.clear()
+            elif self._wake.is_set():
+                # Claims that come in while a batch waits need no extra turn.
+                self._wake.clear()
+                self._stop.wait(BUSY_TICK_S)
+
+    def _dispatch(self) -> bool:
+        """Starts all steps that are due; returns whether more will be."""
+        now_s = time.monotonic()
+        now_ms = time.time_ns() // 1_000_000
+        busy = False
+        with self._lock:
+            for partition, owner in list(self._owners.items()):
+                step = owner.next_step(now_s, now_ms)
+                if step is not None:
+                    self._pool.submit(self._work, owner, step)
+                elif self._is_spare(owner, now_s):
+                    del self._owners[partition]
+                    _logger.info("owner_stopped", partition=partition)
+                busy = busy or owner.has_work
+        return busy
+
+    def _is_spare(self, owner: operations.Owner, now_s: float) -> bool:
+        idle_s = owner.idle_s(now_s)
+        if idle_s < MOVED_KEEP_S or owner.has_work:
+            return False
+        member = self.locate(owner.partition)
+        moved = member is None or member.id != self._shared.cfg.daemon_id
+        return moved or idle_s > IDLE_KEEP_S
+
+    def _work(
+        self,
+        owner: operations.Owner,
+        step: operations.Read | operations.Append | None,
+    ) -> None:
+        """Carries out a step and those that are due at once after it."""
+        while step is not None and not self._stop.is_set():
+            self._carry_out(owner, step)
+            with self._lock:
+                step = owner.next_step(
+                    time.monotonic(), time.time_ns() // 1_000_000
+                )
+        self._wake.set()
+
+    def _carry_out(
+        self,
+        owner: operations.Owner,
+        step: operations.Read | operations.Append,
+    ) -> None:
+        try:
+            if isinstance(step, operations.Append):
+                self._append(owner, step.batch)
+            else:
+                self._read(owner, step.start)
+        except Exception:
+            _logger.exception("owner_step_crashed")
+            with self._lock:
+                owner.on_read_failed(time.monotonic())
+
+    def _append(
+        self, owner: operations.Owner, batch: claims.ClaimBatch
+    ) -> None:
+        count = self._shared.metrics.count
+        stream = claims.stream_of(owner.partition)
+        try:
+            offset = self._log.append(stream, records.encode(batch))
+        except errors.LogError:
+            count("buckthorn_operation_appends", result="failed")
+            with self._lock:
+                owner.on_append_failed()
+            return
+        count("buckthorn_operation_appends", result="acknowledged")
+        with self._lock:
+            owner.on_appended(offset)
+
+    def _read(self, owner: operations.Owner, start: ids.Offset) -> None:
+        stream = claims.stream_of(owner.partition)
+        try:
+            batch = self._log.read(stream, start, READ_LIMIT)
+        except errors.LogError:
+            self._shared.metrics.count("buckthorn_operation_read_failures")
+            with self._lock:
+                owner.on_read_failed(time.monotonic())
+            return
+        with self._lock:
+            owner.on_read(batch, time.monotonic())
--- /dev/null
+++ b/tests/processes/test_at_most_once.py
@@ -0,0 +1,141 @@
+"""Operation keys with real processes: races, a killed daemon, an outage."""
+
+from concurrent import futures
+import json
+import signal
+import threading
+
+import pytest
+import test_path
+import urllib3
+
+from buckthorn_core import claims
+from buckthorn_standins import fleet
+
+mesh = test_path.mesh
+RUN_MS = 6_000
+
+
+def wait_ready(mesh: fleet.Fleet) -> None:
+    test_path.publish(mesh)
+
+    def ready() -> bool:
+        states = [mesh.status(i) for i in mesh.instances]
+        return all(
+            s
+            and s["ready"]
+            and len(s["upstreams"]) == 3
+            and all(u["upstream_state"] == "up" for u in s["upstreams"])
+            for s in states
+        )
+
+    mesh.wait_until(ready, test_path.READY_S, "the first version")
+
+
+def book(instance: fleet.Instance, key: str, name: str = "1"):
+    headers = {"Buckthorn-Deadline-Ms": str(RUN_MS)}
+    if key:
+        headers["Idempotency-Key"] = key
+    return urllib3.PoolManager(retries=False).request(
+        "POST",
+        f"http://{instance.address('http')}/bookings/{name}",
+        body=b"booking",
+        headers=headers,
+        timeout=15.0,
+    )
+
+
+def runs(mesh: fleet.Fleet, key: str) -> int:
+    return sum(
+        r["key"] == key and r["event"] == "begin" for r in mesh.records()
+    )
+
+
+def key_owned_by(mesh: fleet.Fleet, owner: fleet.Instance) -> str:
+    members = sorted(i.name for i in mesh.instances if i.region == owner.region)
+    return next(
+        key
+        for key in (f"order-{n}" for n in range(1_000))
+        if claims.owner_of(claims.partition_of(claims.digest_key(key)), members)
+        == owner.name
+    )
+
+
+@pytest.mark.processes
+def test_same_key_at_two_daemons_runs_once_and_needs_the_log(mesh):
+    """Guards against a second run by a race, also across regions."""
+    wait_ready(mesh)
+    near = next(i for i in mesh.instances if i.region == mesh.log_region)
+    far = next(i for i in mesh.instances if i.region != mesh.log_region)
+    keys = [f"race-{n}" for n in range(12)]
+    barrier = threading.Barrier(2)
+
+    def race(instance):
+        found = {}
+        for key in keys:
+            barrier.wait(15.0)
+            found[key] = book(instance, key)
+        return found
+
+    with futures.ThreadPoolExecutor(2) as pool:
+        answers = list(pool.map(race, [near, far]))
+    for key in keys:
+        pair = sorted(a[key].status for a in answers)
+        assert pair in ([200, 200], [200, 409]), [a[key].data for a in answers]
+        assert runs(mesh, key) == 1
+    first = next(a[keys[0]] for a in answers if a[keys[0]].status == 200)
+
+    def repeated() -> bool:
+        again = book(far, keys[0])
+        return again.status == 200 and again.data == first.data
+
+    mesh.wait_until(repeated, 5.0, "the recorded answer")
+    assert book(near, keys[0], "2").status == 422
+    mesh.set_log_faults(down=True)
+    refused = book(near, "during-an-outage")
+    assert refused.headers["Buckthorn-Not-Run"] == "log_unavailable"
+    assert int(refused.headers["Retry-After"]) >= 1
+    assert book(near, "").status == 200
+    mesh.set_log_faults(down=False)
+    mesh.wait_until(
+        lambda: book(near, "during-an-outage").status == 200,
+        15.0,
+        "the end of the outage",
+    )
+    assert runs(mesh, "during-an-outage") == 1
+
+
+@pytest.mark.processes
+def test_same_key_after_the_first_daemon_was_killed_runs_once(mesh):
+    """Guards against a second run when the holder, and owner, has died."""
+    wait_ready(mesh)
+    first, second = [i for i in mesh.instances if i.region == mesh.log_region][
+        :2
+    ]
+    http = urllib3.PoolManager(retries=False)
+    for instance in mesh.instances:
+        http.request(
+            "POST",
+            f"http://{instance.address('upstream')}/faults",
+            body=json.dumps({"delay_ms": 2_000}),
+        )
+    key = key_owned_by(mesh, first)
+    caller = threading.Thread(
+        target=lambda: pytest.raises(
+            urllib3.exceptions.HTTPError, book, first, key
+        )
+    )
+    caller.start()
+    mesh.wait_until(lambda: runs(mesh, key) == 1, 10.0, "the first run")
+    mesh.signal(first.name, signal.SIGKILL)
+    statuses = set()
+
+    def unknown() -> bool:
+        again = book(second, key)
+        statuses.add(again.status)
+        return again.headers.get("Buckthorn-Outcome") == "unknown"
+
+    mesh.wait_until(unknown, 20.0, "the unknown outcome")
+    caller.join(10.0)
+    assert statuses <= {409, 503}
+    assert runs(mesh, key) == 1
