Add the convergence experiment and a runner for experiments

Figures for convergence and control bytes came from the demo only, which has one fleet size and no baseline. The experiment publishes changes to fleets of several sizes and takes times from the log's record time and the daemons' log lines, and bytes from the link. Its baseline is pollers that each read the log at the daemons' period.

--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,21 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 DEPLOYMENT ?= kulhus
+NAME ?=
+FLAGS ?=
 
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
 
-.PHONY: demo test lint format clean
+.PHONY: demo experiment test lint format clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
 
+experiment: $(VENV)/installed
+	$(VENV)/bin/python -m buckthorn_standins.experiment $(NAME) $(FLAGS)
+
 test: $(VENV)/installed
 	$(VENV)/bin/python -m pytest
 
--- a/packages/standins/buckthorn_standins/fleet.py
+++ b/packages/standins/buckthorn_standins/fleet.py
@@ -14,13 +14,12 @@
 import msgspec
 import urllib3
 
+from buckthorn_standins import link_plans
+
 FIRST_PORT = 12_000
 FIRST_PORT_VARIABLE = "BUCKTHORN_FIRST_PORT"
 KEY = "trial-key-0123456789"
 HOST = "127.0.0.1"
-ZONE_LATENCY_MS = 1.0
-REGION_LATENCY_MS = 20.0
-REGION_MBIT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
@@ -154,6 +153,8 @@
         deployment: The deployment.
         instances: All planned instances.
         folder: Folder for settings, logs and records.
+        seeds: Peer addresses by region, for daemons that start while the log
+            is down.
     """
 
     def __init__(
@@ -169,6 +170,7 @@
         self.instances = plan_instances(deployment, ports)
         self._service_ms = service_ms
         self._daemon_settings = daemon_settings or {}
+        self.seeds: dict[str, list[str]] = {}
         self._log_port = ports.take()
         self._log_links = {"near": ports.take(), "far": ports.take()}
         self._control_port = ports.take()
@@ -186,6 +188,16 @@
         """URL of the log service inside its region."""
         return f"http://{HOST}:{self._log_links['near']}"
 
+    @property
+    def direct_log_url(self) -> str:
+        """URL of the log service past the link, which counts no bytes."""
+        return f"http://{HOST}:{self._log_port}"
+
+    def log_url_of(self, region: str) -> str:
+        """Returns the URL of the log service for hosts of a region."""
+        end = "near" if region == self.log_region else "far"
+        return f"http://{HOST}:{self._log_links[end]}"
+
     def start(self) -> None:
         """Starts all processes; they need a moment to be ready."""
         self.start_platform()
@@ -194,14 +206,23 @@
 
     def start_platform(self) -> None:
         """Starts log service and link."""
-        self._spawn(
+        self.spawn(
             "log",
             "buckthorn_standins.log_service",
             f"--listen={HOST}:{self._log_port}",
         )
         plan = self.folder / "link.json"
-        plan.write_text(json.dumps(self._link_plan()))
-        self._spawn("link", "buckthorn_standins.link", f"--plan={plan}")
+        plan.write_text(
+            json.dumps(
+                link_plans.make(
+                    self.instances,
+                    self._log_links,
+                    self._log_port,
+                    self._control_port,
+                )
+            )
+        )
+        self.spawn("link", "buckthorn_standins.link", f"--plan={plan}")
         self._wait_for_port(self._control_port)
         self._wait_for_port(self._log_port)
 
@@ -214,11 +235,11 @@
         """Starts a daemon."""
         cfg = self.folder / f"{instance.name}.jsonc"
         cfg.write_text(json.dumps(self._settings(instance), indent=2))
-        self._spawn(instance.name, "buckthorn_daemon.main", f"--cfg={cfg}")
+        self.spawn(instance.name, "buckthorn_daemon.main", f"--cfg={cfg}")
 
     def start_upstream(self, instance: Instance) -> None:
         """Starts the upstream beside a daemon."""
-        self._spawn(
+        self.spawn(
             f"upstream-{instance.name}",
             "buckthorn_standins.upstream",
             f"--listen={instance.address('upstream')}",
@@ -235,6 +256,10 @@
         """Sends a signal to a process of this fleet."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Returns the id of a process of this fleet."""
+        return self._processes[name].pid
+
     def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Waits for a process to end and returns its status.
 
@@ -311,8 +336,6 @@
         return path
 
     def _settings(self, instance: Instance) -> dict[str, Any]:
-        near = instance.region == self.log_region
-        log_port = self._log_links["near" if near else "far"]
         return {
             "daemon_id": instance.name,
             "region": instance.region,
@@ -324,56 +347,22 @@
             "remote_peer_address": instance.address("peer_far"),
             "http_address": instance.address("http_near"),
             "remote_http_address": instance.address("http_far"),
-            "log_url": f"http://{HOST}:{log_port}",
+            "log_url": self.log_url_of(instance.region),
+            "seeds": self.seeds.get(instance.region, []),
             "log_region": self.log_region,
             "publish_key": KEY,
             "peer_key": KEY,
             **self._daemon_settings,
         }
 
-    def _link_plan(self) -> dict[str, Any]:
-        forwards = []
-        for instance in self.instances:
-            for kind in ("peer", "http"):
-                for end, scope, latency_ms in (
-                    ("near", "local", ZONE_LATENCY_MS),
-                    ("far", "region", REGION_LATENCY_MS),
-                ):
-                    forwards.append(
-                        {
-                            "listen": instance.address(f"{kind}_{end}"),
-                            "target": instance.address(kind),
-                            "scope": scope,
-                            "kind": kind,
-                            "latency_ms": latency_ms,
-                        }
-                    )
-        for end, scope, latency_ms in (
-            ("near", "local", ZONE_LATENCY_MS),
-            ("far", "region", REGION_LATENCY_MS),
-        ):
-            forwards.append(
-                {
-                    "listen": f"{HOST}:{self._log_links[end]}",
-                    "target": f"{HOST}:{self._log_port}",
-                    "scope": scope,
-                    "kind": "log",
-                    "latency_ms": latency_ms,
-                }
-            )
-        return {
-            "control": f"{HOST}:{self._control_port}",
-            "ports": forwards,
-            "rates_mbit_s": {"region": REGION_MBIT_S},
-        }
-
     def _link_command(self, command: dict[str, Any]) -> Any:
         with socket.create_connection((HOST, self._control_port), 5.0) as sock:
             sock.sendall(json.dumps(command).encode() + b"\n")
             with sock.makefile("rb") as answer:
                 return json.loads(answer.readline())
 
-    def _spawn(self, name: str, module: str, *args: str) -> None:
+    def spawn(self, name: str, module: str, *args: str) -> None:
+        """Starts a module as a process of this fleet."""
         log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
         environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
         with log:
