Add experiments for load, leaving, herds, footprint and member costs

The upstream stand-in can stay for a time after it has announced that it leaves, the log stand-in counts its requests, and the fleet gives daemons seeds, as the experiments need.

--- a/packages/standins/buckthorn_standins/convergence.py
+++ b/packages/standins/buckthorn_standins/convergence.py
@@ -61,7 +61,8 @@
     return 4 if daemons <= 12 else 1
 
 
-def _has_upstream(limit: int) -> Callable[[fleet.Instance], bool]:
+def first_upstreams(limit: int) -> Callable[[fleet.Instance], bool]:
+    """Returns a function that is true for the first daemons of a service."""
     seen: dict[str, int] = {}
 
     def decide(instance: fleet.Instance) -> bool:
@@ -151,7 +152,7 @@
     """Measures daemons of a deployment."""
     size = sum(deployment.services.values())
     folder = options.folder / f"{deployment.name}-{size}"
-    decide = _has_upstream(_upstream_count(size))
+    decide = first_upstreams(_upstream_count(size))
     with trials.running(deployment, folder, decide) as (mesh, publisher):
         logs = progress_logs.ProgressLogs(
             {i.name: folder / f"{i.name}.log" for i in mesh.instances}
--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -19,7 +19,14 @@
 _KEEP = flags.DEFINE_string("keep", "", "Folder to keep settings and logs in.")
 
 # The modules register their experiments when they are imported.
-MODULES = ("convergence",)
+MODULES = (
+    "convergence",
+    "overload",
+    "leaving",
+    "herd",
+    "footprint",
+    "member_costs",
+)
 
 
 def main(argv: list[str]) -> int:
--- a/packages/standins/buckthorn_standins/fleet.py
+++ b/packages/standins/buckthorn_standins/fleet.py
@@ -1,6 +1,7 @@
 """A deployment on one machine: log service, link, daemons and upstreams."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -153,6 +154,7 @@
         deployment: The deployment.
         instances: All planned instances.
         folder: Folder for settings, logs and records.
+        ports: Where further ports come from.
         seeds: Peer addresses by region, for daemons that start while the log
             is down.
     """
@@ -163,11 +165,13 @@
         folder: pathlib.Path,
         service_ms: float = 2.0,
         daemon_settings: dict[str, Any] | None = None,
+        upstream_flags: Sequence[str] = (),
     ):
         self.deployment = deployment
         self.folder = folder
-        ports = Ports()
+        self.ports = ports = Ports()
         self.instances = plan_instances(deployment, ports)
+        self._upstream_flags = upstream_flags
         self._service_ms = service_ms
         self._daemon_settings = daemon_settings or {}
         self.seeds: dict[str, list[str]] = {}
@@ -250,6 +254,7 @@
             f"--connections={self.deployment.connections}",
             f"--service_ms={self._service_ms}",
             f"--record={self.folder / (instance.name + '.records')}",
+            *self._upstream_flags,
         )
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -309,10 +314,15 @@
         """Sets the faults of the log service."""
         self._http.request(
             "POST",
-            f"http://{HOST}:{self._log_port}/v1/faults",
+            f"{self.direct_log_url}/v1/faults",
             body=json.dumps(faults).encode(),
         )
 
+    def log_requests(self) -> dict[int, int]:
+        """Returns requests at the log service by period of 100 ms."""
+        answer = self._http.request("GET", f"{self.direct_log_url}/v1/requests")
+        return msgspec.json.decode(answer.data, type=dict[int, int])
+
     def records(self) -> Iterator[dict[str, Any]]:
         """Yields what the upstreams recorded."""
         for path in sorted(self.folder.glob("*.records")):
--- a/packages/standins/buckthorn_standins/log_service.py
+++ b/packages/standins/buckthorn_standins/log_service.py
@@ -1,9 +1,12 @@
 """Stand-in for the platform's log service, with faults that can be set.
 
 Interface: `POST /v1/streams/NAME/records` appends, `GET` on the same path
-with `from` and `limit` reads, `POST /v1/faults` sets `Faults`.
+with `from` and `limit` reads, `POST /v1/faults` sets `Faults`, and
+`GET /v1/requests` returns the number of requests on streams by period of 100
+ms since the epoch.
 """
 
+import collections
 import threading
 import time
 from typing import Any
@@ -19,6 +22,7 @@
 _APPENDS_PER_S = flags.DEFINE_float("appends_per_s", 300.0, "Append limit.")
 
 MAX_BODY_BYTES = 4 * 1_048_576
+COUNT_PERIOD_MS = 100
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -82,6 +86,7 @@
         self._streams: dict[str, Stream] = {}
         self._tokens = appends_per_s
         self._refilled_s = time.monotonic()
+        self._requests: collections.Counter[int] = collections.Counter()
         self.faults = Faults()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
@@ -95,6 +100,10 @@
         method = environ["REQUEST_METHOD"]
         if path == "/v1/faults":
             return self._set_faults(_read_body(environ))
+        if path == "/v1/requests":
+            with self._lock:
+                return "200 OK", msgspec.json.encode(self._requests)
+        self._count_request()
         if self.faults.delay_ms:
             time.sleep(self.faults.delay_ms / 1000)
         if self.faults.down:
@@ -116,6 +125,11 @@
                 stream.drop(self.faults.drop_before)
         return "200 OK", b"{}"
 
+    def _count_request(self) -> None:
+        period = time.time_ns() // (COUNT_PERIOD_MS * 1_000_000)
+        with self._lock:
+            self._requests[period] += 1
+
     def _append(self, name: str, data: bytes) -> tuple[str, bytes]:
         with self._lock:
             if not self._take_token():
--- a/packages/standins/buckthorn_standins/trials.py
+++ b/packages/standins/buckthorn_standins/trials.py
@@ -59,11 +59,22 @@
     )
 
 
+def upstreams_known(
+    mesh: fleet.Fleet, instances: list[fleet.Instance], count: int
+) -> bool:
+    """Returns whether daemons know enough upstreams of their region as up."""
+    return all(
+        s and sum(u["upstream_state"] == "up" for u in s["upstreams"]) >= count
+        for s in statuses(mesh, instances)
+    )
+
+
 @contextlib.contextmanager
 def running(
     deployment: fleet.Deployment,
     folder: pathlib.Path,
     has_upstream: Callable[[fleet.Instance], bool],
+    seeds: Callable[[list[fleet.Instance]], dict[str, list[str]]] | None = None,
     **options: Any,
 ) -> Iterator[tuple[fleet.Fleet, publications.Publisher]]:
     """Runs a fleet that has converged on its first version.
@@ -72,12 +83,15 @@
         deployment: What to run.
         folder: Folder for settings, logs and records.
         has_upstream: Whether a daemon gets an upstream process.
+        seeds: Chooses the seeds of each region.
         **options: Passed on to `fleet.Fleet`.
 
     Yields:
         The fleet and a publisher of further versions.
     """
     mesh = fleet.Fleet(deployment, folder, **options)
+    if seeds is not None:
+        mesh.seeds = seeds(mesh.instances)
     try:
         mesh.start_platform()
         publications.publish_files(
--- a/packages/standins/buckthorn_standins/upstream.py
+++ b/packages/standins/buckthorn_standins/upstream.py
@@ -27,6 +27,9 @@
 _CONNECTIONS = flags.DEFINE_integer("connections", 64, "Connections taken.")
 _SERVICE_MS = flags.DEFINE_float("service_ms", 2.0, "Time of a request.")
 _RECORD = flags.DEFINE_string("record", "", "File for the records.")
+_LINGER_S = flags.DEFINE_float(
+    "linger_s", 0.0, "Time between announcing the end and the end."
+)
 
 ANNOUNCE_S = 1.0
 PIECE_BYTES = 65_536
@@ -191,7 +194,11 @@
     while not stop.wait(ANNOUNCE_S):
         _announce(upstream, pool)
     upstream.draining = True
+    end_s = time.monotonic() + _LINGER_S.value
     _announce(upstream, pool)
+    while (left_s := end_s - time.monotonic()) > 0:
+        time.sleep(min(ANNOUNCE_S, left_s))
+        _announce(upstream, pool)
     while upstream.running:
         time.sleep(0.05)
     server.shutdown_timeout = 1
