Let experiments settle first, and take settings for the daemons

With 48 daemons the rest was measured while members were still news to each other, so that a change seemed to cost less than nothing (-8,963 B).

--- a/packages/standins/buckthorn_standins/convergence.py
+++ b/packages/standins/buckthorn_standins/convergence.py
@@ -24,7 +24,11 @@
 CHANGE_TIMEOUT_S = 30.0
 # Changes come at random phases of the daemons' periods.
 PAUSE_S = 0.6
-SETTLE_S = 3.0
+# Members are news to each other for a while after the start: the more of
+# them, the longer. The rest begins when the traffic no longer falls.
+SETTLE_PERIOD_S = 4.0
+SETTLE_TIMEOUT_S = 120.0
+SETTLED_RATIO = 0.95
 POLLERS_PER_PROCESS = 20
 VERSION_HEADER = "Buckthorn-Version"
 
@@ -90,7 +94,7 @@
     def run(self, changes: int, rest_s: float) -> Result:
         """Measures the rest first, then changes one after another."""
         count = len(self._mesh.instances)
-        time.sleep(SETTLE_S)
+        self._settle()
         rest = self._rate(rest_s)
         before, started_s = control_bytes(self._mesh), time.monotonic()
         accepted = [self._change(count) for _ in range(changes)]
@@ -113,6 +117,15 @@
         }
         return Result(times, slowest, per_change, rest, missing)
 
+    def _settle(self) -> None:
+        end_s = time.monotonic() + SETTLE_TIMEOUT_S
+        lowest = float("inf")
+        stable = 0
+        while stable < 2 and time.monotonic() < end_s:
+            rate = sum(self._rate(SETTLE_PERIOD_S).values())
+            stable = stable + 1 if rate >= lowest * SETTLED_RATIO else 0
+            lowest = min(lowest, rate)
+
     def _rate(self, rest_s: float) -> dict[str, float]:
         before, started_s = control_bytes(self._mesh), time.monotonic()
         time.sleep(rest_s)
@@ -153,7 +166,9 @@
     size = sum(deployment.services.values())
     folder = options.folder / f"{deployment.name}-{size}"
     decide = first_upstreams(_upstream_count(size))
-    with trials.running(deployment, folder, decide) as (mesh, publisher):
+    with trials.running(
+        deployment, folder, decide, daemon_settings=options.daemon_settings
+    ) as (mesh, publisher):
         logs = progress_logs.ProgressLogs(
             {i.name: folder / f"{i.name}.log" for i in mesh.instances}
         )
--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -1,6 +1,7 @@
 """Runs an experiment: `python -m buckthorn_standins.experiment NAME`."""
 
 import importlib
+import json
 import pathlib
 import sys
 import tempfile
@@ -17,6 +18,9 @@
 _ROUNDS = flags.DEFINE_integer("rounds", 0, "Changes or repetitions.")
 _SECONDS = flags.DEFINE_float("seconds", 0.0, "Length of a measurement.")
 _KEEP = flags.DEFINE_string("keep", "", "Folder to keep settings and logs in.")
+_DAEMON = flags.DEFINE_string(
+    "daemon", "{}", "Settings of the daemons, as a JSON object."
+)
 
 # The modules register their experiments when they are imported.
 MODULES = (
@@ -42,6 +46,8 @@
     with tempfile.TemporaryDirectory(prefix="buckthorn-") as temporary:
         folder = pathlib.Path(_KEEP.value or temporary)
         tables.print_preamble(name, _SEED.value)
+        if _DAEMON.value != "{}":
+            print(f"settings of the daemons: {_DAEMON.value}")
         run(
             experiments.Options(
                 seed=_SEED.value,
@@ -50,6 +56,7 @@
                 rounds=_ROUNDS.value,
                 seconds=_SECONDS.value,
                 folder=folder,
+                daemon_settings=json.loads(_DAEMON.value),
             )
         )
     return 0
--- a/packages/standins/buckthorn_standins/experiments.py
+++ b/packages/standins/buckthorn_standins/experiments.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import pathlib
+from typing import Any
 
 import msgspec
 
@@ -16,6 +17,7 @@
         rounds: Changes or repetitions; 0 means the default.
         seconds: Length of a measurement, in seconds; 0 means the default.
         folder: Where settings, logs and records go.
+        daemon_settings: Settings of all daemons, in place of the defaults.
     """
 
     seed: int
@@ -24,6 +26,7 @@
     rounds: int
     seconds: float
     folder: pathlib.Path
+    daemon_settings: dict[str, Any]
 
 
 Experiment = Callable[[Options], None]
--- a/packages/standins/buckthorn_standins/footprint.py
+++ b/packages/standins/buckthorn_standins/footprint.py
@@ -120,7 +120,7 @@
     seconds = options.seconds or SECONDS
     deployment = _one_region(fleet.DEPLOYMENTS[name], size)
     folder = options.folder / f"footprint-{size}"
-    with trials.running(deployment, folder, convergence.first_upstreams(1)) as (
+    with trials.running(deployment, folder, convergence.first_upstreams(1), daemon_settings=options.daemon_settings) as (
         mesh,
         _,
     ):
--- a/packages/standins/buckthorn_standins/herd.py
+++ b/packages/standins/buckthorn_standins/herd.py
@@ -216,6 +216,7 @@
         options.folder / f"herd-{name}-{size}",
         convergence.first_upstreams(1),
         seeds=seeds_of,
+        daemon_settings=options.daemon_settings,
     ) as (mesh, publisher):
         rng = random.Random(options.seed)
         for _ in range(CHANGES_BEFORE):
--- a/packages/standins/buckthorn_standins/leaving.py
+++ b/packages/standins/buckthorn_standins/leaving.py
@@ -177,6 +177,7 @@
         deployment,
         folder,
         lambda _: True,
+        daemon_settings=options.daemon_settings,
         upstream_flags=[f"--linger_s={LINGER_S}"],
     ) as (mesh, publisher):
         trial = _Trial(mesh, publisher, service, options)
--- a/packages/standins/buckthorn_standins/overload.py
+++ b/packages/standins/buckthorn_standins/overload.py
@@ -115,7 +115,9 @@
         with_mesh = tables.quantile(through, share)
         cells += [base, with_mesh - base, with_mesh / base]
     count = len(level.answers)
-    goodput = len(answered) / level.seconds
+    # Queues run on after the load has ended.
+    in_time = sum(a.due_s + a.seconds <= level.seconds for a in answered)
+    goodput = in_time / level.seconds
     table.add(
         level.factor,
         count,
@@ -155,6 +157,7 @@
         options.folder / f"load-{name}",
         lambda i: i.service == service,
         service_ms=service_ms,
+        daemon_settings=options.daemon_settings,
     ) as (mesh, _):
         direct = _start_direct(mesh, service)
         mesh.wait_until(
