--- a/packages/core/buckthorn_core/roles.py
+++ b/packages/core/buckthorn_core/roles.py
@@ -86,33 +86,6 @@
     return _relays(members)[:1]
 
 
-class Holders:
-    """Holders of all roles for a list of members that seldom changes.
-
-    Ranking costs a hash for each member, and a daemon asks for its roles
-    several times a second.
-    """
-
-    def __init__(self) -> None:
-        self._members: list[ids.DaemonId] = []
-        self._found: dict[str, list[ids.DaemonId]] = {}
-
-    def of(
-        self, name: str, members: Sequence[ids.DaemonId]
-    ) -> list[ids.DaemonId]:
-        """Returns the holders of a role, the first choice first.
-
-        Raises:
-            KeyError: There is no such role.
-        """
-        if members != self._members:
-            self._members = list(members)
-            self._found.clear()
-        if name not in self._found:
-            self._found[name] = holders(name, members)
-        return self._found[name]
-
-
 def level(member: ids.DaemonId) -> int:
     """Returns a member's level in the tree: its leading zero digits."""
     digits = 64 // TREE_BASE_BITS
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -70,7 +70,6 @@
             version=self.ready_version,
         )
         self.client = peers.PeerClient(self.identity, self.control)
-        self._holders = roles.Holders()
         self._tree: roles.Tree | None = None
         self._tree_members: list[ids.DaemonId] = []
 
@@ -106,7 +105,7 @@
     def holds(self, role: str) -> bool:
         """Returns whether this daemon holds a role in its region."""
         members = self.membership.eligible()
-        return self.cfg.daemon_id in self._holders.of(role, members)
+        return self.cfg.daemon_id in roles.holders(role, members)
 
     def is_first_relay(self) -> bool:
         """Returns whether this daemon is the first relay of its region."""
--- a/packages/standins/buckthorn_standins/member_costs.py
+++ b/packages/standins/buckthorn_standins/member_costs.py
@@ -164,7 +164,6 @@
 def _member_costs(region: _Region) -> dict[str, float]:
     count = len(region.members)
     tree = roles.Tree(region.daemons)
-    cached = roles.Holders()
     service = region.members[0].service
     return {
         "merge of one change, us": cost_us(region.change),
@@ -182,9 +181,6 @@
         "holders of a role, us": cost_us(
             lambda: roles.holders("log_reader", region.daemons)
         ),
-        "holders, same members, us": cost_us(
-            lambda: cached.of("log_reader", region.daemons)
-        ),
         "tree, us": cost_us(lambda: roles.Tree(region.daemons)),
         "parent of one, us": cost_us(lambda: tree.parent(region.daemons[-1])),
         "parents of all, us/member": cost_us(
