--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -10,9 +10,9 @@
 from absl import flags
 
 from buckthorn_standins import experiments
+from buckthorn_standins import options
 from buckthorn_standins import tables
 
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of the experiment.")
 _SIZES = flags.DEFINE_list("sizes", [], "Numbers of daemons or members.")
 _DEPLOYMENTS = flags.DEFINE_list("deployments", [], "Deployments to run.")
 _ROUNDS = flags.DEFINE_integer("rounds", 0, "Changes or repetitions.")
@@ -45,12 +45,12 @@
         return 2
     with tempfile.TemporaryDirectory(prefix="buckthorn-") as temporary:
         folder = pathlib.Path(_KEEP.value or temporary)
-        tables.print_preamble(name, _SEED.value)
+        tables.print_preamble(name, options.SEED.value)
         if _DAEMON.value != "{}":
             print(f"settings of the daemons: {_DAEMON.value}")
         run(
             experiments.Options(
-                seed=_SEED.value,
+                seed=options.SEED.value,
                 sizes=[int(size) for size in _SIZES.value],
                 deployments=_DEPLOYMENTS.value,
                 rounds=_ROUNDS.value,
