--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
 
-.PHONY: demo test lint format clean
+.PHONY: demo test lint format matrix clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
@@ -30,5 +30,8 @@
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
 	touch $@
 
+matrix: $(VENV)/installed
+	$(VENV)/bin/python tools/matrix.py --write
+
 clean:
 	rm -rf $(VENV) out
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the ports: time, the log, the channel between daemons."""
--- /dev/null
+++ b/tests/fakes/channels.py
@@ -0,0 +1,97 @@
+"""A channel between daemons that loses, repeats and reorders messages."""
+
+from collections.abc import Callable
+import random
+
+from buckthorn_adapters import peers
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import messages
+from buckthorn_core import traffic
+
+Handler = Callable[[messages.Envelope], messages.Payload]
+
+
+class Channel:
+    """Carries requests between daemons by peer address.
+
+    Attributes:
+        cut: Pairs of addresses; nothing passes from the first to the second.
+        silent: Addresses that accept requests and never answer.
+        loss: Share of messages lost, in each direction.
+        repeats: Share of requests that are delivered again later, out of
+            order.
+        sent: Requests that were delivered, as (sender, address, payload).
+    """
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._servers: dict[ids.Address, tuple[peers.Identity, Handler]] = {}
+        self._late: list[tuple[ids.Address, bytes]] = []
+        self.cut: set[tuple[ids.Address, ids.Address]] = set()
+        self.silent: set[ids.Address] = set()
+        self.loss = 0.0
+        self.repeats = 0.0
+        self.sent: list[tuple[ids.DaemonId, ids.Address, object]] = []
+
+    def serve(self, identity: peers.Identity, handler: Handler) -> None:
+        self._servers[identity.address] = (identity, handler)
+
+    def stop(self, address: ids.Address) -> None:
+        self._servers.pop(address, None)
+
+    def client(self, identity: peers.Identity) -> "Client":
+        return Client(self, identity)
+
+    def request(
+        self, identity: peers.Identity, address: ids.Address, data: bytes
+    ) -> bytes:
+        source = identity.address
+        if self._lost(source, address):
+            raise _unavailable(address)
+        if self._late and self._rng.random() < self.repeats:
+            index = self._rng.randrange(len(self._late))
+            self._deliver(*self._late.pop(index))
+        if self._rng.random() < self.repeats:
+            self._late.append((address, data))
+        answer = self._deliver(address, data)
+        if answer is None or self._lost(address, source):
+            raise _unavailable(address)
+        return answer
+
+    def _deliver(self, address: ids.Address, data: bytes) -> bytes | None:
+        found = self._servers.get(address)
+        if found is None or address in self.silent:
+            return None
+        identity, handler = found
+        envelope = messages.decode(data, identity.key)
+        self.sent.append((envelope.sender, address, envelope.payload))
+        payload = handler(envelope)
+        return identity.seal(payload, traffic.Scope.LOCAL)
+
+    def _lost(self, source: ids.Address, target: ids.Address) -> bool:
+        return (source, target) in self.cut or self._rng.random() < self.loss
+
+
+class Client:
+    """Has the interface of `peers.PeerClient`."""
+
+    def __init__(self, channel: Channel, identity: peers.Identity):
+        self._channel = channel
+        self._identity = identity
+
+    def request(
+        self,
+        address: ids.Address,
+        payload: messages.Payload,
+        scope: traffic.Scope = traffic.Scope.LOCAL,
+        timeout_s: float = peers.REQUEST_TIMEOUT_S,
+    ) -> messages.Envelope:
+        del timeout_s
+        sealed = self._identity.seal(payload, scope)
+        answer = self._channel.request(self._identity, address, sealed)
+        return messages.decode(answer, self._identity.key)
+
+
+def _unavailable(address: ids.Address) -> errors.PeerError:
+    return errors.PeerError(errors.Code.PEER_UNAVAILABLE, address)
--- /dev/null
+++ b/tests/fakes/logs.py
@@ -0,0 +1,102 @@
+"""A log with retention, outages and lost answers."""
+
+import collections
+
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import ports
+from tests.fakes import clocks
+
+
+class _Stream:
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[ports.LogRecord] = []
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class FakeLog:
+    """Implements `ports.LogService`.
+
+    Attributes:
+        down: Every call fails without effect.
+        lose_answers: This many appends take effect and then fail.
+        read_limit: Most records of one read; a small one is a slow log.
+        cut: Names of readers that can't reach the log.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self._clock = clock
+        self._streams: dict[str, _Stream] = collections.defaultdict(_Stream)
+        self.down = False
+        self.lose_answers = 0
+        self.read_limit = 256
+        self.cut: set[str] = set()
+
+    def append(self, stream: str, data: bytes) -> ids.Offset:
+        self._check("")
+        found = self._streams[stream]
+        offset = ids.Offset(found.end)
+        time_ms = self._clock.time_ns() // 1_000_000
+        found.records.append(ports.LogRecord(offset, time_ms, data))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE, "the answer was lost"
+            )
+        return offset
+
+    def read(
+        self, stream: str, start: ids.Offset, limit: int = 256
+    ) -> ports.LogBatch:
+        self._check("")
+        found = self._streams[stream]
+        index = max(0, start - found.first)
+        most = min(limit, self.read_limit)
+        return ports.LogBatch(
+            ids.Offset(found.first),
+            ids.Offset(found.end),
+            found.records[index : index + most],
+        )
+
+    def expire(self, stream: str, before: int) -> None:
+        """Drops the records below an offset, as retention does."""
+        found = self._streams[stream]
+        count = max(0, min(len(found.records), before - found.first))
+        del found.records[:count]
+        found.first += count
+
+    def end(self, stream: str) -> int:
+        return self._streams[stream].end
+
+    def seen_by(self, name: str) -> ports.LogService:
+        """Returns the log as one reader sees it, for cuts."""
+        return _View(self, name)
+
+    def _check(self, name: str) -> None:
+        if self.down or name in self.cut:
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE, "the log is down"
+            )
+
+
+class _View:
+    def __init__(self, log: FakeLog, name: str):
+        self._log = log
+        self._name = name
+
+    def append(self, stream: str, data: bytes) -> ids.Offset:
+        self._log._check(self._name)
+        return self._log.append(stream, data)
+
+    def read(
+        self, stream: str, start: ids.Offset, limit: int = 256
+    ) -> ports.LogBatch:
+        self._log._check(self._name)
+        return self._log.read(stream, start, limit)
+
+    def close(self) -> None:
+        pass
--- /dev/null
+++ b/tests/fakes/meshes.py
@@ -0,0 +1,170 @@
+"""Daemons wired as in production, on a fake clock, log and channel."""
+
+import random
+
+from buckthorn_core import ids
+from buckthorn_core import records
+from buckthorn_daemon import daemon
+from buckthorn_daemon import egress
+from buckthorn_daemon import gossiping
+from buckthorn_daemon import ingress
+from buckthorn_daemon import jobs
+from buckthorn_daemon import reading
+from buckthorn_daemon import relaying
+from buckthorn_daemon import settings
+from buckthorn_daemon import state
+from buckthorn_daemon import summarising
+from tests.fakes import bundles
+from tests.fakes import channels
+from tests.fakes import clocks
+from tests.fakes import logs
+
+_TIMED = (
+    daemon,
+    egress,
+    gossiping,
+    ingress,
+    jobs,
+    reading,
+    relaying,
+    state,
+    summarising,
+)
+STEP_S = 0.1
+
+
+class Node:
+    """One daemon; its jobs run when the mesh steps."""
+
+    def __init__(self, mesh: "Mesh", cfg: settings.Settings):
+        self.cfg = cfg
+        self.daemon = daemon.Daemon(cfg)
+        self.shared = self.daemon.shared
+        self.reader = self.daemon._reader
+        self.frozen = False
+        self._tasks: list = []
+        log = mesh.log.seen_by(cfg.daemon_id)
+        self.daemon._log = log
+        self.reader._log = log
+        self.daemon._gossiper._log = log
+        self.shared.rng.seed(mesh.rng.random())
+        self.shared.client = mesh.channel.client(self.shared.identity)
+        self.daemon._scheduler.submit = self._tasks.append
+        mesh.channel.serve(self.shared.identity, self.daemon._on_message)
+
+    @property
+    def version(self) -> int:
+        return self.shared.holder.version.number
+
+    @property
+    def live(self) -> set[str]:
+        """Ids of the members that this daemon takes for live."""
+        return set(self.shared.membership.eligible())
+
+    def step(self, now_s: float) -> None:
+        for job in self.daemon._scheduler._jobs:
+            if job.due(now_s):
+                job.begin()
+                job.run()
+        while self._tasks:
+            task = self._tasks.pop(0)
+            jobs.Job("task", lambda: 0.0, task).run()
+
+
+class Mesh:
+    """Some daemons; the log's region is `near`."""
+
+    def __init__(self, monkeypatch, seed: int = 1):
+        self.rng = random.Random(seed)
+        self.clock = clocks.Clock()
+        self.log = logs.FakeLog(self.clock)
+        self.channel = channels.Channel(self.rng)
+        self.nodes: dict[str, Node] = {}
+        self.versions: dict[str, list[int]] = {}
+        self._publications = 0
+        for module in _TIMED:
+            monkeypatch.setattr(module, "time", self.clock)
+
+    def start(self, name: str, site: str = "n1", **changes) -> Node:
+        """Starts a daemon, or starts it anew with nothing."""
+        port = 30_000 + int(name.lstrip("abcdefghijklmnopqrstuvwxyz"))
+        address = f"127.0.0.1:{port}"
+        key = bundles.KEY.decode()
+        cfg = settings.Settings(
+            daemon_id=ids.DaemonId(name),
+            region=ids.RegionName("far" if site == "f1" else "near"),
+            site=ids.SiteName(site),
+            peer_listen=address,
+            http_listen=f"127.0.0.1:{port + 10_000}",
+            admin_listen=f"127.0.0.1:{port + 20_000}",
+            log_url="http://127.0.0.1:1",
+            log_region=ids.RegionName("near"),
+            publish_key=key,
+            peer_key=key,
+            **changes,
+        )
+        node = Node(self, settings._fill(cfg))
+        self.nodes[name] = node
+        self.versions[name] = []
+        return node
+
+    def stop(self, name: str) -> None:
+        self.channel.stop(self.nodes.pop(name).cfg.peer_address)
+
+    def freeze(self, name: str) -> None:
+        node = self.nodes[name]
+        node.frozen = True
+        self.channel.silent.add(node.cfg.peer_address)
+
+    def wake(self, name: str) -> None:
+        node = self.nodes[name]
+        node.frozen = False
+        self.channel.silent.discard(node.cfg.peer_address)
+
+    def cut(self, one: str, other: str, both: bool = True) -> None:
+        """Cuts the way from one daemon to another."""
+        pair = self.address(one), self.address(other)
+        self.channel.cut.add(pair)
+        if both:
+            self.channel.cut.add((pair[1], pair[0]))
+
+    def address(self, name: str) -> ids.Address:
+        return self.nodes[name].cfg.peer_address
+
+    def publish(self, based_on=None, service: str = "stock") -> int:
+        """Appends a publication and returns its offset."""
+        self._publications += 1
+        if based_on is None:
+            based_on = max(
+                (n.shared.holder.version for n in self.nodes.values()),
+                key=lambda v: v.number,
+            )
+        record = bundles.publication(
+            f"p{self._publications}", based_on, service
+        )
+        return self.log.append(records.CONFIG_STREAM, records.encode(record))
+
+    def run(self, span_s: float, until=None) -> bool:
+        """Lets time pass; returns whether the condition came true."""
+        end_s = self.clock.now_s + span_s
+        while self.clock.now_s < end_s:
+            self.clock.now_s += STEP_S
+            for name, node in list(self.nodes.items()):
+                if not node.frozen:
+                    node.step(self.clock.now_s)
+                self._check(name, node)
+            if until is not None and until():
+                return True
+        return until is None
+
+    def all_at(self, number: int) -> bool:
+        return all(
+            n.version == number and n.shared.holder.ready
+            for n in self.nodes.values()
+        )
+
+    def _check(self, name: str, node: Node) -> None:
+        seen = self.versions[name]
+        if not seen or node.version != seen[-1]:
+            assert not seen or node.version > seen[-1], f"{name} moved back"
+            seen.append(node.version)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -39,6 +39,8 @@
 
 def main() -> int:
     """Checks the trees named on the command line."""
+    # Tests import their shared fakes from the package `tests`.
+    sys.path.insert(0, str(pathlib.Path.cwd()))
     found: list[str] = []
     for root in sys.argv[1:]:
         for path in sorted(pathlib.Path(root).rglob("*.py")):
