Fix versions and checkpoints when a log reader is cut off or gapped

Daemons now pull from a peer that is ahead when the tree has not delivered within 1 s (catchups.CatchUp). Version and offset are now read as one Position. - A gapped writer wrote a recovery checkpoint although the other reader had no gap, with an older version. Members now carry a gapped flag, and only readers without a gap write while there is one. - Nobody wrote checkpoints while the writer was cut off from the log. The second reader now stands in after 1.25 periods since the last checkpoint in the log. - A recovery checkpoint was repeated every 2 s until it was read back. - A new first relay outside the log's region replayed the whole log across the paid link, because its time without contact counted from its start.

Readers append a correction when the log denies a version that is in force.

--- a/packages/core/buckthorn_core/acceptance.py
+++ b/packages/core/buckthorn_core/acceptance.py
@@ -44,6 +44,14 @@
     record: records.Publication
 
 
+class Position(NamedTuple):
+    """What a checkpoint says: the version, and the last offset it covers."""
+
+    version: meshes.VersionId
+    raw: bytes
+    as_of: ids.Offset
+
+
 class HistoryEntry(msgspec.Struct, frozen=True):
     """An accepted publication."""
 
@@ -68,6 +76,11 @@
         gapped: Whether records were lost between what was applied and what
             the log still holds.
         checkpointed: Version of the last checkpoint read.
+        checkpoints: Number of valid checkpoints read.
+        contradicted: Whether the last checkpoint read denies the accepted
+            version: it names a lower one as of a later offset.
+        position: Version and offset that belong together; replaced as a
+            whole, so that another thread can read it at any time.
         history: The latest accepted publications.
     """
 
@@ -79,6 +92,10 @@
         self.next_offset = ids.Offset(0)
         self.gapped = False
         self.checkpointed = meshes.NO_VERSION
+        self.checkpoints = 0
+        self.contradicted = False
+        self.position = Position(meshes.NO_VERSION, b"", ids.Offset(-1))
+        self._version_offset = ids.Offset(-1)
         self.history: collections.deque[HistoryEntry] = collections.deque(
             maxlen=HISTORY_LENGTH
         )
@@ -91,6 +108,7 @@
             self.gapped = True
             self._gap_end = first
             self.next_offset = first
+            self._note_position()
 
     def apply_bytes(self, offset: ids.Offset, data: bytes) -> Outcome:
         """Applies an encoded record; one that can't be read has no effect."""
@@ -98,6 +116,7 @@
             record = records.decode(data)
         except errors.LogError as exc:
             self._advance(offset)
+            self._note_position()
             return Outcome(Verdict.MALFORMED, self.version, str(exc))
         return self.apply(offset, record)
 
@@ -106,6 +125,13 @@
         if offset < self.next_offset:
             return Outcome(Verdict.IGNORED, self.version, "already applied")
         self._advance(offset)
+        outcome = self._apply_next(offset, record)
+        self._note_position()
+        return outcome
+
+    def _apply_next(
+        self, offset: ids.Offset, record: records.Record
+    ) -> Outcome:
         if isinstance(record, records.Publication):
             if self.gapped:
                 return self._hold_back(offset, record)
@@ -114,6 +140,11 @@
             return self._apply_checkpoint(record)
         return Outcome(Verdict.IGNORED, self.version)
 
+    def _note_position(self) -> None:
+        self.position = Position(
+            self.version, self.raw, ids.Offset(self.next_offset - 1)
+        )
+
     def _advance(self, offset: ids.Offset) -> None:
         self.next_offset = ids.Offset(max(self.next_offset, offset + 1))
 
@@ -147,6 +178,7 @@
             meshes.digest(record.bundle),
         )
         self.raw = record.bundle
+        self._version_offset = offset
         self.history.append(
             HistoryEntry(
                 self.version, record.id, record.author, record.time_ms, offset
@@ -160,10 +192,16 @@
         if meshes.digest(record.bundle) != record.version.digest:
             return Outcome(Verdict.INVALID, self.version, "digest differs")
         self.checkpointed = record.version
+        self.checkpoints += 1
+        self.contradicted = (
+            record.version.number < self.version.number
+            and record.as_of >= self._version_offset
+        )
         adopted = record.version.number > self.version.number
         if adopted:
             self.version = record.version
             self.raw = record.bundle
+            self._version_offset = record.as_of
         if self.gapped and record.as_of + 1 >= self._gap_end:
             self._close_gap(record.as_of)
             return Outcome(Verdict.COVERED, self.version)
--- a/packages/core/buckthorn_core/entries.py
+++ b/packages/core/buckthorn_core/entries.py
@@ -52,6 +52,7 @@
         upstream_state: State of the upstream.
         slots: Requests that the upstream runs at once.
         connections: Connections that the upstream takes.
+        gapped: Whether the daemon reads the log and has lost records.
     """
 
     id: ids.DaemonId
@@ -68,6 +69,7 @@
     upstream_state: UpstreamState = UpstreamState.NONE
     slots: int = 0
     connections: int = 0
+    gapped: bool = False
 
     @property
     def key(self) -> str:
--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -5,9 +5,9 @@
 import loguru
 
 from buckthorn_core import acceptance
+from buckthorn_core import checkpoints
 from buckthorn_core import entries
 from buckthorn_core import errors
-from buckthorn_core import ids
 from buckthorn_core import ports
 from buckthorn_core import records
 from buckthorn_core import roles
@@ -15,7 +15,6 @@
 
 MAX_POLL_S = 5.0
 FALLBACK_AFTER_S = 10.0
-RECOVERY_WAIT_S = 30.0
 CONTACTS_PERIOD_S = 30.0
 MAX_CONTACTS = 16
 
@@ -29,8 +28,9 @@
         self._shared = shared
         self._log = log
         self._failures = 0
-        self._checkpoint_due_s = 0.0
-        self._gapped_since_s: float | None = None
+        self._plan = checkpoints.CheckpointPlan(shared.cfg.checkpoint_s)
+        self._at_end = False
+        self._ahead = False
         self._contacts: records.Contacts | None = None
         self.upstream_region_seen_s = time.monotonic()
 
@@ -44,8 +44,13 @@
         with shared.lock:
             if shared.cfg.region == shared.cfg.log_region:
                 return shared.holds("log_reader")
-            cut_off_s = time.monotonic() - self.upstream_region_seen_s
-            return shared.is_first_relay() and cut_off_s > FALLBACK_AFTER_S
+            now_s = time.monotonic()
+            if not shared.is_first_relay():
+                # A new first relay gets the whole time to find a parent
+                # before it reads the log across the paid link.
+                self.upstream_region_seen_s = now_s
+                return False
+            return now_s - self.upstream_region_seen_s > FALLBACK_AFTER_S
 
     def poll_wait_s(self) -> float:
         """Returns the pause before the next read."""
@@ -59,8 +64,10 @@
             errors.LogError: The log can't be read now.
         """
         if not self.is_reader():
+            self._at_end = False
             return
         acceptor = self._shared.acceptor
+        held = self._shared.holder.version.number
         started_s = time.monotonic()
         try:
             batch = self._log.read(records.CONFIG_STREAM, acceptor.next_offset)
@@ -71,10 +78,15 @@
         acceptor.note_first(batch.first)
         for record in batch.records:
             self._apply(record)
-        at_end = acceptor.next_offset >= batch.end
+        self._at_end = at_end = acceptor.next_offset >= batch.end
+        self._note_state()
         if acceptor.version.number > self._shared.holder.version.number:
             self._shared.apply(acceptor.version, acceptor.raw)
         if at_end and not acceptor.gapped:
+            # All that led to the version held before the read has been read.
+            self._ahead = acceptor.contradicted or (
+                held > acceptor.version.number
+            )
             self._confirm(started_s)
 
     def _confirm(self, started_s: float) -> None:
@@ -84,7 +96,12 @@
 
     def _apply(self, record: ports.LogRecord) -> None:
         shared = self._shared
-        outcome = shared.acceptor.apply_bytes(record.offset, record.data)
+        acceptor = shared.acceptor
+        seen = acceptor.checkpoints
+        outcome = acceptor.apply_bytes(record.offset, record.data)
+        if acceptor.checkpoints > seen:
+            age_s = time.time() - record.time_ms / 1000
+            self._plan.note_checkpoint(time.monotonic(), age_s)
         verdict = outcome.verdict
         shared.metrics.count("buckthorn_log_records", verdict=verdict.value)
         if verdict is acceptance.Verdict.ACCEPTED:
@@ -102,22 +119,33 @@
                 a second checkpoint does no harm.
         """
         shared = self._shared
-        with shared.lock:
-            if not shared.holds("checkpoint_writer") or not self.is_reader():
-                return
-        acceptor = shared.acceptor
-        if acceptor.gapped:
-            self._recover()
+        remote = shared.cfg.region != shared.cfg.log_region
+        rank = self._writer_rank()
+        if rank is None:
+            return
+        now_s = time.monotonic()
+        reason = self._plan.due(rank, self._at_end, self._ahead, remote, now_s)
+        if reason is None:
             return
-        self._gapped_since_s = None
-        if time.monotonic() >= self._checkpoint_due_s:
-            self._append_checkpoint(ids.Offset(acceptor.next_offset - 1))
+        if reason is not checkpoints.Reason.PERIOD:
+            _logger.warning("checkpoint_out_of_turn", reason=reason.value)
+        self._append_checkpoint()
 
-    def _append_checkpoint(self, as_of: ids.Offset) -> None:
+    def _writer_rank(self) -> int | None:
+        shared = self._shared
+        with shared.lock:
+            if not self.is_reader():
+                return None
+            eligible = shared.membership.eligible()
+            readers = roles.holders("log_reader", eligible)
+            found = [shared.membership.member(reader) for reader in readers]
+            gapped = {m.id for m in found if m is not None and m.gapped}
+            return checkpoints.rank(shared.cfg.daemon_id, readers, gapped)
+
+    def _append_checkpoint(self) -> None:
         shared = self._shared
+        version, raw, as_of = shared.acceptor.position
         held = shared.holder.current
-        acceptor = shared.acceptor
-        version, raw = acceptor.version, acceptor.raw
         if held is not None and held.version.number > version.number:
             version, raw = held.version, held.raw
         if version.number == 0:
@@ -125,21 +153,19 @@
         record = acceptance.make_checkpoint(
             version, raw, as_of, shared.cfg.peer_key.encode()
         )
+        self._plan.note_appended(time.monotonic())
+        self._ahead = False
         self._log.append(records.CONFIG_STREAM, records.encode(record))
-        period_s = shared.cfg.checkpoint_s
-        self._checkpoint_due_s = time.monotonic() + period_s
         shared.metrics.count("buckthorn_checkpoints")
 
-    def _recover(self) -> None:
-        now_s = time.monotonic()
-        if self._gapped_since_s is None:
-            self._gapped_since_s = now_s
-        if now_s - self._gapped_since_s < RECOVERY_WAIT_S:
-            return
-        _logger.warning("log_gap_recovery")
-        self._append_checkpoint(
-            ids.Offset(self._shared.acceptor.next_offset - 1)
-        )
+    def _note_state(self) -> None:
+        """Takes note of what decides on checkpoints, after a read."""
+        shared = self._shared
+        acceptor = shared.acceptor
+        self._plan.note_gapped(acceptor.gapped, time.monotonic())
+        with shared.lock:
+            if shared.membership.me.gapped != acceptor.gapped:
+                shared.membership.update_me(gapped=acceptor.gapped)
 
     def write_contacts(self) -> None:
         """Writes where new daemons can join, when that has changed.
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -73,6 +73,22 @@
             shared.confirm(sent_s - reply.confirmed_ms / 1000)
         shared.update_floor()
 
+    def catch_up(self) -> None:
+        """Pulls from a peer that is ahead when the parent does not deliver.
+
+        Raises:
+            errors.PeerError: The peer did not answer or sent damaged data.
+            errors.ConfigError: The version is not whole and closed.
+        """
+        shared = self._shared
+        with shared.lock:
+            source = shared.catch_up.next(
+                shared.holder.version.number, time.monotonic()
+            )
+        if source is not None:
+            shared.metrics.count("buckthorn_catch_ups")
+            self.pull(source.address, source.scope)
+
     def pull(self, address: ids.Address, scope: traffic.Scope) -> None:
         """Pulls the current version of a peer and puts it in force.
 
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -10,6 +10,7 @@
 from buckthorn_adapters import peers
 from buckthorn_core import acceptance
 from buckthorn_core import acks
+from buckthorn_core import catchups
 from buckthorn_core import endpoints
 from buckthorn_core import entries
 from buckthorn_core import floors
@@ -58,6 +59,7 @@
         self.acceptor = acceptance.Acceptor(
             cfg.publish_key.encode(), cfg.peer_key.encode()
         )
+        self.catch_up = catchups.CatchUp()
         self.confirmed_s = NEVER_S
         self.on_version: list[Callable[[], None]] = []
         self.identity = peers.Identity(
@@ -129,11 +131,21 @@
 
     def note_peer(self, envelope: messages.Envelope) -> None:
         """Learns from the version that a message carries."""
+        if envelope.version <= 0:
+            return
+        local = envelope.region == self.cfg.region
+        source = catchups.Source(
+            envelope.address,
+            traffic.Scope.LOCAL if local else traffic.Scope.REGION,
+            envelope.version,
+        )
         with self.lock:
-            if envelope.version > 0:
-                self.floors.add_answer(
-                    envelope.sender, envelope.site, envelope.version
-                )
+            self.floors.add_answer(
+                envelope.sender, envelope.site, envelope.version
+            )
+            self.catch_up.note(
+                source, self.holder.version.number, time.monotonic()
+            )
 
     def confirm(self, confirmed_s: float) -> None:
         """Notes that the version in force was the log's latest."""
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -31,6 +31,7 @@
     summarising,
 )
 STEP_S = 0.1
+CHECKPOINT_S = 60.0
 
 
 class Node:
@@ -101,6 +102,7 @@
             log_region=ids.RegionName("near"),
             publish_key=key,
             peer_key=key,
+            checkpoint_s=CHECKPOINT_S,
             **changes,
         )
         node = Node(self, settings._fill(cfg))
@@ -163,6 +165,38 @@
             for n in self.nodes.values()
         )
 
+    def readers(self) -> list[str]:
+        """Returns the daemons of the log's region that hold the role."""
+        near = [n for n in self.nodes.values() if n.cfg.region == "near"]
+        return [n.cfg.daemon_id for n in near if n.shared.holds("log_reader")]
+
+    def roots(self, region: str = "near") -> list[str]:
+        """Returns the daemons that take themselves for the first relay."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.cfg.region == region and node.shared.is_first_relay()
+        ]
+
+    def all_known(self) -> bool:
+        """Returns whether all daemons know all members of their regions."""
+        return all(
+            node.live
+            == {
+                name
+                for name, other in self.nodes.items()
+                if other.cfg.region == node.cfg.region
+            }
+            for node in self.nodes.values()
+        )
+
+    def summary(self) -> str:
+        return " ".join(
+            f"{name}:v{node.version}"
+            f"{'' if node.shared.holder.ready else '?'}/{len(node.live)}"
+            for name, node in self.nodes.items()
+        )
+
     def _check(self, name: str, node: Node) -> None:
         seen = self.versions[name]
         if not seen or node.version != seen[-1]:
--- /dev/null
+++ b/tests/matrix/conftest.py
@@ -0,0 +1,34 @@
+"""Fixtures of the matrix tests."""
+
+import loguru
+import pytest
+from tests.fakes import meshes
+
+SEED = "127.0.0.1:30000"
+
+
+@pytest.fixture(autouse=True)
+def _quiet():
+    loguru.logger.disable("buckthorn_daemon")
+    yield
+    loguru.logger.enable("buckthorn_daemon")
+
+
+@pytest.fixture
+def make_mesh(monkeypatch):
+    """Returns a function that starts a mesh with version 1 in force."""
+
+    def make(seed: int = 1, near: int = 6, far: int = 3) -> meshes.Mesh:
+        mesh = meshes.Mesh(monkeypatch, seed)
+        for index in range(near):
+            mesh.start(f"n{index}", ("n1", "n2")[index % 2], seeds=[SEED])
+        for index in range(far):
+            number = 100 + index
+            mesh.start(f"f{number}", "f1", seeds=["127.0.0.1:30100"])
+        assert mesh.run(120, mesh.all_known), mesh.summary()
+        mesh.publish()
+        ready = mesh.run(30, lambda: mesh.all_at(1) and mesh.all_known())
+        assert ready, mesh.summary()
+        return mesh
+
+    return make
--- /dev/null
+++ b/tests/matrix/test_plans.py
@@ -0,0 +1,70 @@
+"""Pure decisions: checkpoints, and pulls from peers that are ahead."""
+
+import pytest
+
+from buckthorn_core import catchups
+from buckthorn_core import checkpoints
+from buckthorn_core import ids
+from buckthorn_core import traffic
+
+RECOVERY = checkpoints.Reason.RECOVERY
+
+
+@pytest.mark.parametrize(
+    ("readers", "gapped", "want"),
+    [
+        (["me", "b"], [], 0),
+        (["b", "me"], [], 1),
+        (["b", "me"], ["b"], 0),
+        (["me", "b"], ["me"], None),
+        (["b", "me"], ["b", "me"], 1),
+        (["b", "c"], ["b", "c"], None),
+    ],
+)
+def test_only_readers_without_a_gap_write_while_there_is_one(
+    readers, gapped, want
+):
+    """Guards against a gapped writer beside a reader that knows more."""
+    assert checkpoints.rank("me", readers, gapped) == want
+
+
+@pytest.mark.parametrize(
+    ("rank", "at_end", "ahead", "gapped", "remote", "age_s", "want"),
+    [
+        (0, True, False, False, False, 99, None),
+        (0, True, False, False, False, 100, checkpoints.Reason.PERIOD),
+        (1, True, False, False, False, 124, None),
+        (1, True, False, False, False, 125, checkpoints.Reason.PERIOD),
+        (0, False, False, False, False, 1_000, None),
+        (0, True, True, False, False, 1, checkpoints.Reason.CORRECTION),
+        (0, True, True, True, False, 29, None),
+        (0, True, False, True, False, 30, RECOVERY),
+        (1, True, False, True, False, 59, None),
+        (1, True, False, True, False, 60, RECOVERY),
+        (0, True, False, True, True, 119, None),
+    ],
+)
+def test_checkpoint_is_due(rank, at_end, ahead, gapped, remote, age_s, want):
+    """Guards against checkpoints too early, too late, or off the log's end."""
+    plan = checkpoints.CheckpointPlan(100.0)
+    plan.note_checkpoint(0.0, 0.0)
+    plan.note_gapped(gapped, 0.0)
+    assert plan.due(rank, at_end, ahead, remote, float(age_s)) is want
+
+
+def test_catch_up_waits_for_the_tree_and_asks_one_peer_at_a_time():
+    """Guards against a herd that pulls each version twice."""
+    found = catchups.CatchUp()
+    for number in (3, 4, 2):
+        address = ids.Address(f"peer-{number}")
+        source = catchups.Source(
+            address, traffic.Scope.LOCAL, ids.VersionNumber(number)
+        )
+        found.note(source, ids.VersionNumber(2), 0.0)
+    held = ids.VersionNumber(2)
+    assert found.next(held, 0.5) is None
+    first = found.next(held, 1.0)
+    assert first is not None
+    assert first.number == 4
+    assert found.next(held, 1.5) is None
+    assert found.next(ids.VersionNumber(3), 2.5) is None
