Add the fault table of the configuration path

62 cells as rows of a scenario outline over daemons with their real wiring; MATRIX_SEEDS sets the seeds.

--- a/tests/fakes/channels.py
+++ b/tests/fakes/channels.py
@@ -1,6 +1,7 @@
 """A channel between daemons that loses, repeats and reorders messages."""
 
 from collections.abc import Callable
+import contextlib
 import random
 
 from buckthorn_adapters import peers
@@ -18,7 +19,9 @@
     Attributes:
         cut: Pairs of addresses; nothing passes from the first to the second.
         silent: Addresses that accept requests and never answer.
+        slow: Addresses whose answers mostly come after the timeout.
         loss: Share of messages lost, in each direction.
+        answer_loss: Share of answers lost after the request's effect.
         repeats: Share of requests that are delivered again later, out of
             order.
         sent: Requests that were delivered, as (sender, address, payload).
@@ -30,7 +33,9 @@
         self._late: list[tuple[ids.Address, bytes]] = []
         self.cut: set[tuple[ids.Address, ids.Address]] = set()
         self.silent: set[ids.Address] = set()
+        self.slow: set[ids.Address] = set()
         self.loss = 0.0
+        self.answer_loss = 0.0
         self.repeats = 0.0
         self.sent: list[tuple[ids.DaemonId, ids.Address, object]] = []
 
@@ -51,11 +56,14 @@
             raise _unavailable(address)
         if self._late and self._rng.random() < self.repeats:
             index = self._rng.randrange(len(self._late))
-            self._deliver(*self._late.pop(index))
+            with contextlib.suppress(errors.BuckthornError):
+                self._deliver(*self._late.pop(index))
         if self._rng.random() < self.repeats:
             self._late.append((address, data))
         answer = self._deliver(address, data)
-        if answer is None or self._lost(address, source):
+        late = {source, address} & self.slow and self._rng.random() < 0.8
+        late = late or self._rng.random() < self.answer_loss
+        if answer is None or late or self._lost(address, source):
             raise _unavailable(address)
         return answer
 
--- a/tests/matrix/conftest.py
+++ b/tests/matrix/conftest.py
@@ -32,3 +32,12 @@
         return mesh
 
     return make
+
+
+def pytest_collection_modifyitems(items):
+    """Gives a scenario the cell that its row of examples names."""
+    for item in items:
+        params = getattr(getattr(item, "callspec", None), "params", {})
+        row = params.get("_pytest_bdd_example", {})
+        if {"fault", "step"} <= set(row):
+            item.add_marker(pytest.mark.cell(row["fault"], row["step"]))
--- /dev/null
+++ b/tests/matrix/test_distribution.py
@@ -0,0 +1,149 @@
+"""Steps of features/distribution.feature."""
+
+import contextlib
+import os
+import pathlib
+
+import pytest
+import pytest_bdd
+from tests.fakes import bundles
+from tests.fakes import meshes as fake_meshes
+from tests.fakes import strikes
+
+from buckthorn_core import acceptance
+from buckthorn_core import errors
+from buckthorn_core import meshes as versions
+from buckthorn_core import records
+from buckthorn_core import views
+
+CONFIG = records.CONFIG_STREAM
+# More seeds find more; one keeps the tests short.
+SEEDS = range(1, 1 + int(os.environ.get("MATRIX_SEEDS", "1")))
+ONE_DAEMON = frozenset(
+    {"kill", "freeze", "cut_one_way", "cut_both_ways", "silent", "slow_link"}
+)
+FEATURES = pathlib.Path(__file__).parents[1] / "features"
+
+
+@pytest.fixture(params=SEEDS)
+def seed(request):
+    return request.param
+
+
+@pytest_bdd.scenario(FEATURES / "distribution.feature", "<fault> at <step>")
+def test_distribution(seed):
+    """Guards against a version that is lost or reverted by a fault."""
+
+
+class Scene:
+    """A mesh, the daemons at each step, and the log's whole history."""
+
+    def __init__(self, mesh: fake_meshes.Mesh):
+        self.mesh = mesh
+        self.end = lambda: None
+        self.fault = ""
+        self.target_name = ""
+        self.oracle = acceptance.Acceptor(bundles.KEY, bundles.KEY)
+
+    def target(self, step: str) -> str:
+        mesh = self.mesh
+        if step == "checkpoint":
+            return next(
+                n.cfg.daemon_id
+                for n in mesh.nodes.values()
+                if n.cfg.region == "near"
+                and n.shared.holds("checkpoint_writer")
+            )
+        if step == "relay":
+            return mesh.roots("far")[0]
+        if step == "apply":
+            return next(
+                n for n in mesh.nodes if n not in mesh.readers() and n[0] == "n"
+            )
+        return mesh.roots()[0]
+
+    def read(self) -> None:
+        """Applies what the log got; it must be called before it expires."""
+        found = self.mesh.log.read(CONFIG, self.oracle.next_offset, 10_000)
+        for record in found.records:
+            self.oracle.apply_bytes(record.offset, record.data)
+
+
+@pytest_bdd.given("a mesh with a version in force", target_fixture="scene")
+def _given(make_mesh, seed):
+    scene = Scene(make_mesh(seed))
+    scene.mesh.run(3)
+    scene.read()
+    return scene
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse("{fault} strikes the daemon that does {step}")
+)
+def _strike(scene, fault, step):
+    scene.fault = fault
+    scene.target_name = scene.target(step)
+    scene.end = strikes.begin(scene.mesh, fault, scene.target_name)
+    with contextlib.suppress(errors.LogError):
+        scene.read()
+
+
+@pytest_bdd.when("versions are published")
+def _publish(scene):
+    for _ in range(3):
+        with contextlib.suppress(errors.LogError):
+            scene.mesh.publish(scene.oracle.version)
+        with contextlib.suppress(errors.LogError):
+            scene.read()
+        # Longer than it takes to declare a daemon dead.
+        scene.mesh.run(6)
+
+
+@pytest_bdd.when("daemons beyond the fault follow within 10 s")
+def _beyond(scene):
+    """Checks daemons that a fault of one daemon leaves alone.
+
+    10 s: 4 s to find that a daemon is dead, and 5 s for the version.
+    """
+    if scene.fault not in ONE_DAEMON:
+        return
+    target = scene.target_name
+    want = scene.oracle.version
+    others = [n for name, n in scene.mesh.nodes.items() if name != target]
+
+    def done() -> bool:
+        return all(n.shared.holder.version == want for n in others)
+
+    assert scene.mesh.run(4, done), (want.number, target, scene.mesh.summary())
+
+
+@pytest_bdd.when("the fault ends")
+def _end(scene):
+    scene.end()
+    scene.read()
+    scene.mesh.publish(scene.oracle.version)
+    scene.read()
+
+
+@pytest_bdd.then("all daemons have the accepted version in force within 30 s")
+def _then(scene):
+    want = scene.oracle.version
+    assert want.number >= 2
+
+    def done() -> bool:
+        return all(
+            n.shared.holder.version == want and n.shared.holder.ready
+            for n in scene.mesh.nodes.values()
+        )
+
+    assert scene.mesh.run(30, done), (want.number, scene.mesh.summary())
+    scene.mesh.run(10)
+    assert done(), scene.mesh.summary()
+
+
+@pytest_bdd.then("the version is whole and closed on each")
+def _closed(scene):
+    for node in scene.mesh.nodes.values():
+        current = node.shared.holder.current
+        assert versions.digest(current.raw) == current.version.digest
+        assert views.check_closed(current.view) == []
