--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,21 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 DEPLOYMENT ?= kulhus
+NAME ?=
+FLAGS ?=
 
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
 
-.PHONY: demo test lint format clean
+.PHONY: demo experiment test lint format docs clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
 
+experiment: $(VENV)/installed
+	$(VENV)/bin/python -m buckthorn_standins.experiment $(NAME) $(FLAGS)
+
 test: $(VENV)/installed
 	$(VENV)/bin/python -m pytest
 
@@ -22,9 +27,13 @@
 	$(VENV)/bin/mypy $(foreach p,core adapters daemon client standins,packages/$(p)/buckthorn_$(p)) tools
 
 format: $(VENV)/installed
+	$(VENV)/bin/ruff format packages tests tools
 	$(VENV)/bin/ruff check --fix packages tests tools
 	$(VENV)/bin/ruff format packages tests tools
 
+docs: $(VENV)/installed
+	$(VENV)/bin/python tools/settings_page.py
+
 $(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -19,6 +19,7 @@
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
 from buckthorn_daemon import owning
+from buckthorn_daemon import querying
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
@@ -55,7 +56,7 @@
         self._owners = owning.Owners(self.shared, self._log)
         self._claimer = claiming.Claimer(self.shared, self._owners)
         self._egress = egress.Egress(self.shared, self._claimer)
-        self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
+        self._admin = admin.Admin(self.shared, self._ingress)
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
             self.shared.identity,
@@ -169,9 +170,9 @@
             messages.Pull: lambda m, e: distributor.on_pull(m),
             messages.Report: distributor.on_report,
             messages.Summary: lambda m, e: self._summariser.on_summary(m),
+            messages.StatusQuery: lambda m, e: querying.count(self.shared),
             messages.Claim: self._owners.on_claim,
             messages.Complete: self._owners.on_complete,
-            messages.StatusQuery: lambda m, e: distributor.status(),
         }
 
     def _on_announce(
