--- a/packages/client/buckthorn_client/waiting.py
+++ b/packages/client/buckthorn_client/waiting.py
@@ -76,8 +76,8 @@
     ]
     if not status.whole:
         parts.append(
-            f"only the part below {status.counted_by}; the root of the tree"
-            " can't be reached"
+            f"only the part below {status.counted_by} is counted; the root of"
+            " the tree can't be reached, or took over only seconds ago"
         )
     return "; ".join(parts)
 
--- a/packages/core/buckthorn_core/acks.py
+++ b/packages/core/buckthorn_core/acks.py
@@ -46,6 +46,24 @@
         self._me = me
         self._site = site
         self._reports: dict[ids.DaemonId, _Report] = {}
+        self._root_since_s: float | None = None
+
+    def note_root(self, is_root: bool, now_s: float) -> None:
+        """Takes note of whether this daemon is the root of the tree."""
+        if not is_root:
+            self._root_since_s = None
+        elif self._root_since_s is None:
+            self._root_since_s = now_s
+
+    def covers_all(self, now_s: float) -> bool:
+        """Returns whether the total covers the whole fleet.
+
+        A daemon that has just become the root lacks reports of daemons that
+        have not found it yet; one that has just started takes itself for the
+        root until it knows other members.
+        """
+        since_s = self._root_since_s
+        return since_s is not None and now_s - since_s >= REPORT_TIMEOUT_S
 
     def add(self, child: ids.DaemonId, tally: Tally, now_s: float) -> None:
         """Stores a child's tally."""
--- a/packages/core/buckthorn_core/fleets.py
+++ b/packages/core/buckthorn_core/fleets.py
@@ -45,8 +45,9 @@
         daemon: The daemon that was asked.
         region: Its region.
         counted_by: The daemon that counted the versions.
-        whole: Whether that is the root of the distribution tree. If not, the
-            counts cover only the part of the fleet below it.
+        whole: Whether that is the root of the distribution tree, and has been
+            for long enough to have heard of all. If not, the counts cover
+            only the part of the fleet below it.
         accepted: The latest version that the counting daemon knows.
         versions: Number of daemons by version number.
         sites: Daemons by site.
--- a/packages/core/buckthorn_core/messages.py
+++ b/packages/core/buckthorn_core/messages.py
@@ -169,7 +169,7 @@
         counts: Number of daemons by version number.
         laggards: Some daemons with the lowest version.
         sites: The counts of each site.
-        root: Whether the answering daemon is the root of the tree.
+        root: Whether the counts cover the whole fleet.
         roles: Holders of roles in its region.
     """
 
--- a/packages/daemon/buckthorn_daemon/querying.py
+++ b/packages/daemon/buckthorn_daemon/querying.py
@@ -30,7 +30,8 @@
 def count(shared: state.State) -> messages.StatusReply:
     """Returns the versions in force on this daemon and below it."""
     with shared.lock:
-        total = shared.acks.total(shared.ready_version(), time.monotonic())
+        now_s = time.monotonic()
+        total = shared.acks.total(shared.ready_version(), now_s)
         return messages.StatusReply(
             accepted=max(
                 shared.holder.version,
@@ -40,7 +41,7 @@
             counts=total.counts,
             laggards=total.laggards,
             sites=total.sites,
-            root=_is_root(shared),
+            root=shared.is_root() and shared.acks.covers_all(now_s),
             roles=_role_holders(shared),
         )
 
@@ -49,7 +50,7 @@
     """Returns the status of the fleet, or of the part that is reachable."""
     counter, reply = shared.cfg.daemon_id, count(shared)
     if not reply.root:
-        counter, reply = _ask_root(shared) or (counter, reply)
+        counter, reply = _ask_root(shared, counter, reply)
     with shared.lock:
         region_roles = {shared.cfg.region: _role_holders(shared)}
         if reply.root:
@@ -80,24 +81,17 @@
     exchange.answer(200, msgspec.json.encode(fleet(interface.shared)))
 
 
-def _is_root(shared: state.State) -> bool:
-    return (
-        shared.cfg.region == shared.cfg.log_region and shared.is_first_relay()
-    )
-
-
 def _role_holders(shared: state.State) -> dict[str, list[ids.DaemonId]]:
-    eligible = shared.membership.eligible()
-    return {name: roles.holders(name, eligible) for name in roles.names()}
+    return {name: shared.holders(name) for name in roles.names()}
 
 
 def _ask_root(
-    shared: state.State,
-) -> tuple[ids.DaemonId, messages.StatusReply] | None:
+    shared: state.State, counter: ids.DaemonId, reply: messages.StatusReply
+) -> tuple[ids.DaemonId, messages.StatusReply]:
     """Asks daemons that may be the root, until one says that it is.
 
-    The second relay of the log's region answers too while the first is not
-    reachable, but its counts cover only what is below it.
+    Without an answer of the root, the answer that covers most daemons is
+    returned, which may be the one given.
     """
     with shared.lock:
         targets = list(_root_addresses(shared))
@@ -109,10 +103,14 @@
         except errors.PeerError:
             shared.metrics.count("buckthorn_status_query_failures")
             continue
-        reply = envelope.payload
-        if isinstance(reply, messages.StatusReply) and reply.root:
-            return envelope.sender, reply
-    return None
+        found = envelope.payload
+        if not isinstance(found, messages.StatusReply):
+            continue
+        if found.root:
+            return envelope.sender, found
+        if sum(found.counts.values()) > sum(reply.counts.values()):
+            counter, reply = envelope.sender, found
+    return counter, reply
 
 
 def _root_addresses(
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -43,6 +43,8 @@
         shared = self._shared
         shared.update_floor()
         parent = self._parent()
+        with shared.lock:
+            shared.acks.note_root(shared.is_root(), time.monotonic())
         if parent is None:
             return
         address, scope = parent
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -126,6 +126,10 @@
         """Returns whether this daemon is the first relay of its region."""
         return self.tree().relays[:1] == [self.cfg.daemon_id]
 
+    def is_root(self) -> bool:
+        """Returns whether acknowledgements of the whole fleet end here."""
+        return self.cfg.region == self.cfg.log_region and self.is_first_relay()
+
     def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Puts a version in force.
 
--- a/tests/core/test_fleets.py
+++ b/tests/core/test_fleets.py
@@ -67,3 +67,19 @@
         assert sum(counts.values()) == 200
         assert min(counts) == 1
         assert counts[200] == 1
+
+
+def test_new_root_does_not_speak_for_the_fleet_at_once():
+    """Guards against a wait that ends on the counts of a lone daemon."""
+    tree = acks.AckTree("d", "near-1")
+    seen = []
+    for now_s, is_root in [
+        (0, True),
+        (6, True),
+        (7, True),
+        (8, False),
+        (9, True),
+    ]:
+        tree.note_root(is_root, now_s)
+        seen.append(tree.covers_all(now_s))
+    assert seen == [False, False, True, False, False]
