--- a/packages/adapters/buckthorn_adapters/log_clients.py
+++ b/packages/adapters/buckthorn_adapters/log_clients.py
@@ -112,18 +112,28 @@
     ) -> bytes:
         options: dict[str, Any] = {"body": body} if body else {}
         try:
-            resp = self._pool.request(method, self._url + path, **options)
+            resp = self._pool.request(
+                method, self._url + path, preload_content=False, **options
+            )
+            data = resp.read(MAX_BATCH_BYTES + 1)
+            if len(data) > MAX_BATCH_BYTES:
+                resp.close()
+                raise errors.LogError(
+                    errors.Code.BAD_RECORD,
+                    f"the answer is over {MAX_BATCH_BYTES} bytes",
+                )
+            resp.release_conn()
         except urllib3.exceptions.HTTPError as exc:
             raise errors.LogError(
                 errors.Code.LOG_UNAVAILABLE, str(exc), 1.0
             ) from exc
-        size = len(path) + len(body) + len(resp.data)
+        size = len(path) + len(body) + len(data)
         self._control.add(kind, self._scope, size)
         if resp.status != 200:
             raise errors.LogError(
                 errors.Code.LOG_UNAVAILABLE, f"status {resp.status}", 1.0
             )
-        return resp.data
+        return data
 
 
 def _unpack(data: bytes) -> bytes:
