Break ties between two writers of a summary or contacts entry

Two daemons that both take themselves for a region's first relay can raise the same revision with different contents. Each table then kept its own, the digests did not differ, and a region could keep contacts of a daemon that is no relay.

The rank of both entries now ends with a checksum of the content. Tables of changes say "all" for a change of every site.

--- a/packages/client/buckthorn_client/checking.py
+++ b/packages/client/buckthorn_client/checking.py
@@ -41,16 +41,19 @@
     follower = commands.make_publisher(commands.load_settings()).follower
     accepted = follower.catch_up().number
     number = commands.based_on(accepted)
-    changes = differences.compare(follower.bundle_of(number), bundle)
+    old = follower.bundle_of(number)
+    changes = differences.compare(old, bundle)
+    sites = differences.all_sites(old, bundle)
     advice = "publish with"
     if number < accepted:
         advice = (
             f"version {accepted} has been accepted since: take over what"
             " `buckthornctl diff` shows, then publish with"
         )
+    shown = outputs.change_table(changes, sites)
     text = (
-        f"{outputs.change_table(changes)}\n\ncompared with version {number};"
-        f" {advice}: buckthornctl publish --based_on={accepted} --wait"
+        f"{shown}\n\ncompared with version {number}; {advice}:"
+        f" buckthornctl publish --based_on={accepted} --wait"
     )
     outputs.emit(
         commands.as_json(),
--- a/packages/client/buckthorn_client/differences.py
+++ b/packages/client/buckthorn_client/differences.py
@@ -32,9 +32,9 @@
     old: meshes.Bundle | None, new: meshes.Bundle | None
 ) -> list[Change]:
     """Returns what changes at the sites; None stands for no version."""
-    sites = {*_sites(old), *_sites(new)}
+    sites = all_sites(old, new)
     grouped: dict[tuple[str, str | None, str | None], list[ids.SiteName]] = {}
-    for site in sorted(sites):
+    for site in sites:
         before, after = _values(old, site), _values(new, site)
         for path in {**before, **after}:
             values = (before.get(path), after.get(path))
@@ -46,6 +46,11 @@
     )
 
 
+def all_sites(*bundles: meshes.Bundle | None) -> list[ids.SiteName]:
+    """Returns the sites of some bundles, sorted."""
+    return sorted({site for bundle in bundles for site in _sites(bundle)})
+
+
 def _sites(bundle: meshes.Bundle | None) -> Iterator[ids.SiteName]:
     if bundle is not None:
         for sites in bundle.base.regions.values():
@@ -70,7 +75,8 @@
     for kind in _KINDS:
         for name, item in getattr(view, kind).items():
             for field, value in msgspec.to_builtins(item).items():
-                values[f"{kind}.{name}.{field}"] = _json(value)
+                if value is not None:
+                    values[f"{kind}.{name}.{field}"] = _json(value)
     return values
 
 
--- a/packages/client/buckthorn_client/moving.py
+++ b/packages/client/buckthorn_client/moving.py
@@ -57,7 +57,10 @@
         raise commands.UsageError(str(exc)) from exc
     _write(path, text)
     after = files.BundleFiles(commands.folder()).load()
-    _report(move, current, step, path, differences.compare(before, after))
+    shown = outputs.change_table(
+        differences.compare(before, after), differences.all_sites(after)
+    )
+    _report(move, current, step, path, shown)
     return commands.Exit.OK
 
 
@@ -133,7 +136,7 @@
     current: moves.Step,
     step: moves.Step,
     path: pathlib.Path,
-    changes: list[differences.Change],
+    shown: str,
 ) -> None:
     path_text = " -> ".join(
         f"[{found}]" if found == step else str(found) for found in move.steps
@@ -141,7 +144,7 @@
     outputs.emit(
         commands.as_json(),
         {"from": str(current), "step": str(step), "written": str(path)},
-        f"{path_text}\n\n{outputs.change_table(changes)}\n\nwritten to {path};"
+        f"{path_text}\n\n{shown}\n\nwritten to {path};"
         " nothing is published. Next:\n  buckthornctl diff\n  buckthornctl"
         " publish --based_on=N --wait    (N as `diff` shows it)\n  buckthornctl"
         " status",
--- a/packages/client/buckthorn_client/outputs.py
+++ b/packages/client/buckthorn_client/outputs.py
@@ -22,14 +22,26 @@
     )
 
 
-def change_table(changes: Sequence[differences.Change]) -> str:
-    """Returns a table of changes, with the sites that each concerns."""
+def change_table(
+    changes: Sequence[differences.Change], sites: Sequence[str]
+) -> str:
+    """Returns a table of changes, with the sites that each concerns.
+
+    Args:
+        changes: The changes.
+        sites: All sites, for changes that concern them all.
+    """
     if not changes:
         return "no differences"
     return table(
         ("SITES", "VALUE", "OLD", "NEW"),
         (
-            (",".join(c.sites), c.path, c.old or "-", c.new or "-")
+            (
+                "all" if c.sites == list(sites) else ",".join(c.sites),
+                c.path,
+                c.old or "-",
+                c.new or "-",
+            )
             for c in changes
         ),
     )
--- a/packages/client/buckthorn_client/publications.py
+++ b/packages/client/buckthorn_client/publications.py
@@ -89,9 +89,9 @@
     acceptor = follower.acceptor
     winner = acceptor.version.number
     author = acceptor.history[-1].author if acceptor.history else "unknown"
-    changes = differences.compare(
-        follower.bundle_of(number), follower.bundle_of(winner)
-    )
+    edited, won = follower.bundle_of(number), follower.bundle_of(winner)
+    changes = differences.compare(edited, won)
+    shown = outputs.change_table(changes, differences.all_sites(edited, won))
     outputs.emit(
         commands.as_json(),
         {
@@ -103,7 +103,7 @@
         },
         f"lost a race: version {winner} by {author!r} is accepted, and you"
         f" edited version {number}.\nChanged since version {number}:\n\n"
-        f"{outputs.change_table(changes)}\n\nNothing of yours is published."
+        f"{shown}\n\nNothing of yours is published."
         f" Take these changes over into your files, look at `buckthornctl"
         f" diff`, then: buckthornctl publish --based_on={winner}",
     )
--- a/packages/core/buckthorn_core/entries.py
+++ b/packages/core/buckthorn_core/entries.py
@@ -1,6 +1,7 @@
 """Entries of the table that gossip replicates inside a region."""
 
 import enum
+import zlib
 
 import msgspec
 
@@ -110,7 +111,7 @@
     @property
     def rank(self) -> tuple[int, int, int]:
         """The entry with the higher rank wins."""
-        return (self.incarnation, self.revision, 0)
+        return (self.incarnation, self.revision, _tie_breaker(self))
 
 
 class RegionContacts(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -129,7 +130,7 @@
     @property
     def rank(self) -> tuple[int, int, int]:
         """The entry with the higher rank wins."""
-        return (self.incarnation, self.revision, 0)
+        return (self.incarnation, self.revision, _tie_breaker(self))
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -158,4 +159,14 @@
         return (self.incarnation, self.revision, self.crashes)
 
 
+def _tie_breaker(entry: ServiceSummary | RegionContacts) -> int:
+    """Returns a number by the content.
+
+    Two daemons that both take themselves for the writer can raise the same
+    revision with different contents. Without a tie-breaker each table keeps
+    its own, and digests, which go by rank, don't show the difference.
+    """
+    return zlib.crc32(msgspec.msgpack.encode(entry))
+
+
 Entry = Member | ServiceSummary | RegionContacts | Suspicion
