--- a/tests/docs/test_settings.py
+++ b/tests/docs/test_settings.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from buckthorn_client import commands
 from buckthorn_client import files
 from buckthorn_client import settings as client_settings
 from buckthorn_core import meshes
@@ -51,3 +52,10 @@
     assert {(client.log_url, client.publish_key, client.peer_key)} == {
         (cfg.log_url, cfg.publish_key, cfg.peer_key) for cfg in found
     }
+
+
+def test_exit_statuses_are_on_the_page():
+    """Guards against a status that operators' scripts can't look up."""
+    page = (ROOT / "docs" / "operators" / "publish.md").read_text()
+    for status in commands.Exit:
+        assert f"| {status.value} | {status.name.lower()} |" in page
