Fix refusals as not run after a try that may have run; add request cells

Admission was ruled out: each refusal was right for its own try. attempts.Attempts keeps the error of a try that may have run and answers with it.

The hops of the request table are fakes; choice, retries, budget and admission are real.

--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -11,6 +11,7 @@
 from buckthorn_adapters import bodies
 from buckthorn_adapters import servers
 from buckthorn_adapters import upstreams
+from buckthorn_core import attempts
 from buckthorn_core import choices
 from buckthorn_core import endpoints
 from buckthorn_core import errors
@@ -152,21 +153,25 @@
             )
             budget.add_request()
         tries = 0
+        failed = attempts.Attempts()
         while True:
-            endpoint = self._choose(call)
-            call.tried.add(endpoint.daemon)
             try:
+                endpoint = self._choose(call)
+                call.tried.add(endpoint.daemon)
                 self._try(call, endpoint)
                 return
             except errors.RequestError as exc:
                 if call.exchange.started:
                     raise
+                failed.note(exc)
+                if not self._candidates(call):
+                    raise failed.outcome(exc) from exc
                 with self._lock:
                     again = retries.may_retry(
                         exc, call.idempotent, call.body_consumed, tries, budget
                     )
-                if not again or not self._candidates(call):
-                    raise
+                if not again:
+                    raise failed.outcome(exc) from exc
                 tries += 1
                 self._shared.metrics.count(
                     "buckthorn_retries", service=call.route.service
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -2,6 +2,7 @@
 
 import random
 
+from buckthorn_core import entries
 from buckthorn_core import ids
 from buckthorn_core import records
 from buckthorn_daemon import daemon
@@ -82,6 +83,7 @@
         self.channel = channels.Channel(self.rng)
         self.nodes: dict[str, Node] = {}
         self.versions: dict[str, list[int]] = {}
+        self.upstreams: dict[str, str] = {}
         self._publications = 0
         for module in _TIMED:
             monkeypatch.setattr(module, "time", self.clock)
@@ -130,6 +132,17 @@
         if both:
             self.channel.cut.add((pair[1], pair[0]))
 
+    def listing(self, name: str, among=None) -> list[str]:
+        """Returns the daemons that send work to an upstream's daemon."""
+        service = self.upstreams[name]
+        return [
+            other
+            for other, node in self.nodes.items()
+            if other != name
+            and (among is None or other in among)
+            and name in {e.daemon for e in node.shared.endpoints.local(service)}
+        ]
+
     def address(self, name: str) -> ids.Address:
         return self.nodes[name].cfg.peer_address
 
@@ -153,6 +166,7 @@
             self.clock.now_s += STEP_S
             for name, node in list(self.nodes.items()):
                 if not node.frozen:
+                    self._announce(name, node)
                     node.step(self.clock.now_s)
                 self._check(name, node)
             if until is not None and until():
@@ -197,6 +211,18 @@
             for name, node in self.nodes.items()
         )
 
+    def _announce(self, name: str, node: Node) -> None:
+        """Does what the heartbeat of the upstream leads to."""
+        service = self.upstreams.get(name)
+        me = node.shared.membership.me
+        if service is not None and me.service != service:
+            node.shared.membership.update_me(
+                service=service,
+                upstream_state=entries.UpstreamState.UP,
+                slots=4,
+                connections=8,
+            )
+
     def _check(self, name: str, node: Node) -> None:
         seen = self.versions[name]
         if not seen or node.version != seen[-1]:
--- /dev/null
+++ b/tests/fakes/requests.py
@@ -0,0 +1,158 @@
+"""Requests without keys, from callers through admission to upstreams.
+
+The hops are fakes with faults; choice, retries, budget and admission are the
+real ones.
+"""
+
+import random
+
+from buckthorn_core import admission
+from buckthorn_core import attempts
+from buckthorn_core import choices
+from buckthorn_core import endpoints
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import retries
+
+DEADLINE_S = 5.0
+Code = errors.Code
+# What the sender of a request sees when a fault strikes at a step. Before
+# its first byte is sent, nothing can have run; afterwards nobody knows.
+SEEN = {
+    "kill": Code.UPSTREAM_FAILED,
+    "freeze": Code.UPSTREAM_SILENT,
+    "cut_one_way": Code.UPSTREAM_SILENT,
+    "cut_both_ways": Code.UPSTREAM_SILENT,
+    "silent": Code.UPSTREAM_SILENT,
+    "slow_link": Code.TIMED_OUT,
+    "disorder": Code.UPSTREAM_FAILED,
+    "answer_lost": Code.UPSTREAM_FAILED,
+    "herd": Code.UPSTREAM_FAILED,
+}
+# An established connection shows these only after bytes were sent on it.
+SEEN_AT_DISPATCH = {"silent": Code.UPSTREAM_SILENT}
+
+
+class Request:
+    """A request and what became of it.
+
+    Attributes:
+        runs: Upstreams that ran it.
+        touched: Whether a byte reached an upstream, in any try.
+        tries: Number of tries.
+        error: The error that the caller got, or None.
+    """
+
+    def __init__(self, idempotent: bool, long_body: bool):
+        self.idempotent = idempotent
+        self.long_body = long_body
+        self.runs: list[ids.DaemonId] = []
+        self.touched = False
+        self.tries = 0
+        self.error: errors.RequestError | None = None
+
+
+class Scene:
+    """Upstreams, their admission, and one daemon that takes the requests.
+
+    Attributes:
+        fault: The fault, which strikes a share of the tries at `step`.
+    """
+
+    def __init__(self, seed: int, fault: str, step: str, hosts: int = 4):
+        self.rng = random.Random(seed)
+        self.fault = fault
+        self.step = step
+        self.now_s = 0.0
+        self.observations = choices.Observations()
+        self.budget = retries.RetryBudget()
+        self.retries = 0
+        self.stuck: list[tuple[admission.Admission, admission.Ticket]] = []
+        self.endpoints = [
+            endpoints.Endpoint(
+                ids.DaemonId(f"n{n}"),
+                ids.Address(f"127.0.0.1:{n}"),
+                ids.RegionName("near"),
+                ids.SiteName("n1"),
+                4,
+            )
+            for n in range(hosts)
+        ]
+        self.admissions = {
+            e.daemon: admission.Admission(admission.Limits(4, 8))
+            for e in self.endpoints
+        }
+
+    def send(self, req: Request) -> None:
+        """Sends a request as the daemon that the caller called does."""
+        self.budget.add_request()
+        tried: set[ids.DaemonId] = set()
+        failed = attempts.Attempts()
+        while True:
+            left = [e for e in self.endpoints if e.daemon not in tried]
+            chosen = choices.get("two_choices")(
+                left, self.observations, self.now_s, self.rng
+            )
+            tried.add(chosen.daemon)
+            self.observations.started(chosen.daemon, self.now_s)
+            try:
+                self._try(req, chosen.daemon)
+            except errors.RequestError as exc:
+                note = self.observations.failed
+                if exc.trait.not_run:
+                    note = self.observations.refused
+                note(chosen.daemon, self.now_s)
+                failed.note(exc)
+                consumed = req.long_body and not exc.trait.not_run
+                if len(tried) == len(self.endpoints) or not retries.may_retry(
+                    exc, req.idempotent, consumed, req.tries - 1, self.budget
+                ):
+                    req.error = failed.outcome(exc)
+                    return
+                self.retries += 1
+                continue
+            self.observations.finished(chosen.daemon, self.now_s, 0.02)
+            return
+
+    def _try(self, req: Request, daemon: ids.DaemonId) -> None:
+        req.tries += 1
+        self.now_s += 0.001
+        struck = self.rng.random() < 0.4
+        if struck and self.step == "dispatch":
+            raise errors.RequestError(
+                SEEN_AT_DISPATCH.get(self.fault, Code.PEER_UNAVAILABLE), ""
+            )
+        gate = self.admissions[daemon]
+        if struck and self.step == "admit":
+            self._strike_admission(gate)
+        ticket = gate.enter(self.now_s, self.now_s + DEADLINE_S)
+        try:
+            if not gate.is_running(ticket):
+                # Gives up while it waits; nothing was sent.
+                raise errors.RequestError(Code.DEADLINE_PASSED, "waited")
+            self._run(req, daemon, struck)
+        finally:
+            gate.leave(ticket, 0.02)
+
+    def _strike_admission(self, gate: admission.Admission) -> None:
+        """Makes the daemon of the upstream refuse, or its slots full."""
+        if self.fault in ("kill", "herd", "cut_both_ways", "cut_one_way"):
+            gate.closed = not gate.closed
+            return
+        # Requests that a silent or frozen upstream does not finish.
+        while gate.running < 4:
+            ticket = gate.enter(self.now_s, self.now_s + 60.0)
+            self.stuck.append((gate, ticket))
+
+    def _run(self, req: Request, daemon: ids.DaemonId, struck: bool) -> None:
+        req.touched = True
+        if struck and self.step == "body":
+            raise errors.RequestError(SEEN[self.fault], "body cut short")
+        req.runs.append(daemon)
+        if struck and self.step == "answer":
+            raise errors.RequestError(SEEN[self.fault], "no whole answer")
+
+    def drain(self) -> None:
+        """Ends the requests that were stuck."""
+        for gate, ticket in self.stuck:
+            gate.leave(ticket)
--- a/tests/matrix/test_machines.py
+++ b/tests/matrix/test_machines.py
@@ -4,13 +4,12 @@
 from hypothesis import stateful
 from hypothesis import strategies
 import pytest
+from tests.fakes import bundles
+from tests.fakes import meshes
 
 from buckthorn_core import acceptance
 from buckthorn_core import errors
-from buckthorn_core import ids
 from buckthorn_core import records
-from tests.fakes import bundles
-from tests.fakes import meshes
 
 CONFIG = records.CONFIG_STREAM
 NAMES = ["n0", "n1", "n2", "n3", "n4", "f100", "f101"]
--- /dev/null
+++ b/tests/matrix/test_requests.py
@@ -0,0 +1,112 @@
+"""Steps of features/requests.feature."""
+
+import pathlib
+import types
+
+import pytest
+import pytest_bdd
+from tests.fakes import requests
+
+from buckthorn_core import errors
+from buckthorn_core import retries
+
+FEATURES = pathlib.Path(__file__).parents[1] / "features"
+REQUESTS = 400
+SEED = 7
+
+pytest_bdd.scenarios(str(FEATURES / "requests.feature"))
+
+
+@pytest_bdd.given("callers and upstreams with 4 slots each")
+def _given():
+    pass
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse("{fault} strikes requests at {step}"),
+    target_fixture="found",
+)
+def _send(fault, step):
+    return send_all(requests.Scene(SEED, fault, step))
+
+
+def send_all(scene):
+    sent = []
+    for _ in range(REQUESTS):
+        req = requests.Request(
+            scene.rng.random() < 0.5, scene.rng.random() < 0.2
+        )
+        scene.send(req)
+        sent.append(req)
+    return scene, sent
+
+
+@pytest_bdd.then("a refusal as not run means that no byte reached an upstream")
+def _not_run(found):
+    _, sent = found
+    refused = [req for req in sent if req.error and req.error.trait.not_run]
+    assert not [req for req in refused if req.touched]
+
+
+@pytest_bdd.then("a non-idempotent request ran at most once")
+def _once(found):
+    _, sent = found
+    assert all(len(r.runs) <= 1 for r in sent if not r.idempotent)
+    assert any(r.runs for r in sent)
+    assert any(r.error for r in sent) or any(r.tries > 1 for r in sent)
+
+
+@pytest_bdd.then("retries stay within the budget and two for each request")
+def _budget(found):
+    scene, sent = found
+    most = retries.BUDGET_BURST + retries.BUDGET_RATIO * len(sent)
+    assert scene.retries <= most
+    assert max(r.tries for r in sent) <= 1 + retries.MAX_RETRIES
+
+
+@pytest_bdd.then("all slots are free again")
+def _free(found):
+    scene, _ = found
+    scene.drain()
+    assert all(gate.idle for gate in scene.admissions.values())
+
+
+@pytest.mark.parametrize("step", ["body", "answer"])
+def test_wrongly_typed_refusal_is_found(monkeypatch, step):
+    """Planted fault: a lost body or answer that is typed as not run (G5)."""
+    monkeypatch.setitem(requests.SEEN, "kill", errors.Code.PEER_UNAVAILABLE)
+    found = send_all(requests.Scene(SEED, "kill", step))
+    with pytest.raises(AssertionError):
+        _not_run(found)
+
+
+def test_refused_retry_does_not_hide_a_try_that_may_have_run(
+    make_mesh, monkeypatch
+):
+    """Guards against "not run" for a request whose first try failed."""
+    mesh = make_mesh(1)
+    node = mesh.nodes["n0"]
+    egress = node.daemon._egress
+    codes = [errors.Code.UPSTREAM_FAILED, errors.Code.SLOTS_FULL]
+    hosts = requests.Scene(SEED, "kill", "body").endpoints
+
+    def fail(call, endpoint):
+        raise errors.RequestError(codes[len(call.tried) - 1], endpoint.daemon)
+
+    call = types.SimpleNamespace(
+        route=types.SimpleNamespace(service="stock"),
+        exchange=types.SimpleNamespace(started=False),
+        tried=set(),
+        idempotent=True,
+        body_consumed=False,
+    )
+    monkeypatch.setattr(egress, "_try", fail)
+    monkeypatch.setattr(
+        egress,
+        "_candidates",
+        lambda call: [e for e in hosts[:2] if e.daemon not in call.tried],
+    )
+    monkeypatch.setattr(egress, "_choose", lambda c: egress._candidates(c)[0])
+    with pytest.raises(errors.RequestError) as raised:
+        egress._send(call)
+    assert raised.value.code is errors.Code.UPSTREAM_FAILED
