--- a/packages/adapters/buckthorn_adapters/bodies.py
+++ b/packages/adapters/buckthorn_adapters/bodies.py
@@ -1,6 +1,8 @@
 """Request bodies, read in pieces. A body cut short raises."""
 
 from collections.abc import Iterator
+import select
+import socket
 from typing import Any
 
 from buckthorn_core import errors
@@ -18,15 +20,25 @@
         remaining: Bytes that have not been read; for chunked bodies 0 at
             the end and 1 before it.
         received: Bytes read so far.
+        waiting_at: `received` while bytes are waited for, otherwise None.
     """
 
-    def __init__(self, stream: Any, length: int | None, max_bytes: int):
+    def __init__(
+        self,
+        stream: Any,
+        length: int | None,
+        max_bytes: int,
+        sock: socket.socket | None = None,
+    ):
         self._stream = stream
+        self._sock = sock
+        self._unread = b""
         self._max_bytes = max_bytes
         self._chunk_left = 0
         self.length = length
         self.remaining = 1 if length is None else length
         self.received = 0
+        self.waiting_at: int | None = None
 
     def limit(self, max_bytes: int) -> None:
         """Lowers the longest body that is accepted.
@@ -44,8 +56,12 @@
         Raises:
             errors.RequestError: The body is cut short or too long.
         """
+        if self._unread:
+            data, self._unread = self._unread, b""
+            return data
         if self.remaining == 0:
             return b""
+        self.waiting_at = self.received
         try:
             data = (
                 self._read_chunked(size)
@@ -54,6 +70,8 @@
             )
         except OSError as exc:
             raise _cut_short(str(exc)) from exc
+        finally:
+            self.waiting_at = None
         self.received += len(data)
         if self.length is not None:
             self.remaining -= len(data)
@@ -61,6 +79,34 @@
             raise _too_large(self._max_bytes)
         return data
 
+    def unread(self, data: bytes) -> None:
+        """Gives bytes back, which are then read first."""
+        self._unread = data + self._unread
+
+    def wait(self, other: socket.socket, timeout_s: float) -> bool:
+        """Waits for bytes of the body, or for something on a socket.
+
+        Args:
+            other: The socket.
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Whether a read would not wait.
+        """
+        if self._unread or self.remaining == 0 or self._sock is None:
+            return True
+        if self._stream.has_data():
+            return True
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        poller.register(other, select.POLLIN)
+        self.waiting_at = self.received
+        try:
+            ready = [fd for fd, _ in poller.poll(timeout_s * 1000)]
+        finally:
+            self.waiting_at = None
+        return self._sock.fileno() in ready and other.fileno() not in ready
+
     def pieces(self) -> Iterator[bytes]:
         """Yields the body's pieces.
 
--- a/packages/adapters/buckthorn_adapters/servers.py
+++ b/packages/adapters/buckthorn_adapters/servers.py
@@ -14,6 +14,7 @@
 import loguru
 
 from buckthorn_adapters import bodies
+from buckthorn_adapters import interims
 from buckthorn_core import errors
 
 MAX_HEADER_BYTES = 32_768
@@ -24,7 +25,8 @@
 
 NOT_RUN_HEADER = "Buckthorn-Not-Run"
 OUTCOME_HEADER = "Buckthorn-Outcome"
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Length of an answer that goes chunked between daemons.
+LENGTH_HEADER = "Buckthorn-Length"
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -51,10 +53,20 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in req.inheaders.items()
         }
-        self.body = bodies.Body(req.conn.rfile, self._body_length(), 1 << 62)
+        self.body = bodies.Body(
+            req.conn.rfile, self._body_length(), 1 << 62, req.conn.socket
+        )
         req.rfile = self.body
         self.started = False
         self.status = 0
+        self._finished = False
+
+    @property
+    def header_bytes(self) -> int:
+        """Size of the request line and the headers, in bytes."""
+        # Each line has two more bytes, between name and value and so on.
+        pairs = self.headers.items()
+        return len(self.path) + sum(len(n) + len(v) + 4 for n, v in pairs)
 
     def _body_length(self) -> int | None:
         if self._req.chunked_read:
@@ -65,17 +77,49 @@
     def malformed(self) -> bool:
         """Whether the length of the body is ambiguous."""
         length = self.headers.get("content-length", "0")
-        return not length.isdecimal() or (
-            self._req.chunked_read and "content-length" in self.headers
+        chunked = self._req.chunked_read
+        return (
+            not length.isdecimal()
+            or (chunked and "content-length" in self.headers)
+            # HTTP/1.0 knows no chunks; the body would be taken for the next
+            # request.
+            or (not chunked and "transfer-encoding" in self.headers)
         )
 
-    def send_continue(self) -> bool:
-        """Sends an interim answer, unless the answer has begun."""
+    def admit(self) -> None:
+        """Asks the sender for the body."""
         with self._lock:
-            if self.started:
-                return False
-            self._req.conn.wfile.write(CONTINUE)
-            return True
+            self._req.conn.wfile.write(interims.make(True, None))
+
+    def show_life(self) -> None:
+        """Sends a byte or some, whatever the state of the answer.
+
+        It never waits: one receiver that does not read must not keep the
+        others without signs of life.
+
+        Raises:
+            OSError: The receiver has gone.
+        """
+        if not self._lock.acquire(blocking=False):
+            return
+        try:
+            if self._finished or not self._writable():
+                return
+            if not self.started:
+                data = interims.make(False, self.body.waiting_at)
+            elif self._req.chunked_write:
+                # A leading zero of the next chunk's size.
+                data = b"0"
+            else:
+                return
+            self._req.conn.wfile.write(data)
+        finally:
+            self._lock.release()
+
+    def _writable(self) -> bool:
+        poller = select.poll()
+        poller.register(self._req.conn.socket, select.POLLOUT)
+        return bool(poller.poll(0))
 
     def add_header(self, name: str, value: str) -> None:
         """Adds a header to the answer, whatever it will be."""
@@ -105,7 +149,21 @@
     def write(self, data: bytes) -> None:
         """Sends a piece of the answer's body."""
         if self.method != "HEAD":
-            self._req.write(data)
+            with self._lock:
+                self._req.write(data)
+
+    def finish(self) -> None:
+        """Ends the answer's body."""
+        with self._lock:
+            if self._finished:
+                return
+            self._finished = True
+            if self._req.chunked_write:
+                self._req.conn.wfile.write(b"0\r\n\r\n")
+                # The server would send the end a second time.
+                self._req.chunked_write = False
+        if self.body.remaining:
+            _linger(self._req.conn.socket)
 
     def answer(
         self,
@@ -124,8 +182,7 @@
             ],
         )
         self.write(body)
-        if self.body.remaining:
-            self._linger()
+        self.finish()
 
     def refuse(self, exc: errors.BuckthornError) -> None:
         """Answers with a typed error, or cuts an answer that has begun."""
@@ -135,7 +192,7 @@
         headers = []
         if exc.trait.not_run:
             headers.append((NOT_RUN_HEADER, exc.code.value))
-        elif exc.trait.http_status in (409, 502, 504):
+        elif exc.trait.http_status != 500:
             headers.append((OUTCOME_HEADER, "unknown"))
         if exc.retry_after_s is not None:
             seconds = max(1, math.ceil(exc.retry_after_s))
@@ -149,6 +206,7 @@
 
     def abort(self) -> None:
         """Closes the connection so that the answer is seen to be cut."""
+        self._finished = True
         self._req.close_connection = True
         self._req.chunked_write = False
         try:
@@ -156,22 +214,22 @@
         except OSError:
             return
 
-    def _linger(self) -> None:
-        # Closing with unread input resets the connection, and a reset can
-        # destroy the answer before the caller has read it.
-        sock = self._req.conn.socket
-        end_s = time.monotonic() + LINGER_S
-        left = LINGER_BYTES
-        try:
-            sock.shutdown(socket.SHUT_WR)
-            while left > 0 and (wait := end_s - time.monotonic()) > 0:
-                readable, _, _ = select.select([sock], [], [], wait)
-                data = sock.recv(bodies.PIECE_BYTES) if readable else b""
-                if not data:
-                    return
-                left -= len(data)
-        except OSError:
-            return
+
+def _linger(sock: socket.socket) -> None:
+    # Closing with unread input resets the connection, and a reset can
+    # destroy the answer before the caller has read it.
+    end_s = time.monotonic() + LINGER_S
+    left = LINGER_BYTES
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while left > 0 and (wait := end_s - time.monotonic()) > 0:
+            readable = interims.is_readable(sock, wait)
+            data = sock.recv(bodies.PIECE_BYTES) if readable else b""
+            if not data:
+                return
+            left -= len(data)
+    except OSError:
+        return
 
 
 _STATUSES = frozenset(int(status) for status in http.HTTPStatus)
@@ -183,6 +241,7 @@
     def respond(self) -> None:
         exchange = Exchange(self.req)
         if exchange.malformed:
+            self.req.close_connection = True
             exchange.refuse(
                 errors.RequestError(
                     errors.Code.BAD_REQUEST, "the body's length is ambiguous"
@@ -203,6 +262,29 @@
                 exchange.answer(500, b"internal error\n", "text/plain")
 
 
+class _Request(cheroot_server.HTTPRequest):
+    def simple_response(self, status: str, msg: str = "") -> None:
+        if not status.startswith("413"):
+            super().simple_response(status, msg)
+            return
+        # The server calls this only for headers; bodies have other limits.
+        self.close_connection = True
+        code = errors.Code.HEADERS_TOO_LARGE
+        text = f"{code.value}: over {MAX_HEADER_BYTES} bytes\n"
+        self.conn.wfile.write(
+            f"HTTP/1.1 {errors.TRAITS[code].http_status}"
+            " Request Header Fields Too Large\r\n"
+            f"{NOT_RUN_HEADER}: {code.value}\r\n"
+            f"Content-Length: {len(text)}\r\n"
+            f"Connection: close\r\n\r\n{text}".encode()
+        )
+        _linger(self.conn.socket)
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class HttpServer:
     """Serves requests on a pool of threads."""
 
@@ -213,6 +295,7 @@
         )
         # The gateway finds the handler at its server.
         vars(self._server)["handler"] = handler
+        self._server.ConnectionClass = _Connection
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.timeout = IDLE_TIMEOUT_S
         self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
--- a/packages/adapters/buckthorn_adapters/upstreams.py
+++ b/packages/adapters/buckthorn_adapters/upstreams.py
@@ -1,9 +1,10 @@
 """HTTP out: pools of connections over urllib3."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
-import select
+import http.client
 import socket
 import threading
 import time
@@ -13,13 +14,19 @@
 from urllib3 import connection
 
 from buckthorn_adapters import bodies
+from buckthorn_adapters import interims
 from buckthorn_adapters import servers
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import progress
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_S = 20.0
 MAX_IDLE = 256
+SEND_BYTES = 16_384
+BODY_TIMEOUT_S = 30.0
+# How often a pause of the body is looked into, whatever happens.
+LISTEN_S = 0.5
 TCP_USER_TIMEOUT_MS = 5_000
 # Before a request that must not be sent twice, a kept connection must have
 # answered this recently; otherwise the request could vanish in a connection
@@ -40,10 +47,6 @@
     """No byte of the request has left."""
 
 
-class EarlyAnswerError(Exception):
-    """The answer has come before the body was sent."""
-
-
 class Lease:
     """A connection taken from a pool for one request.
 
@@ -55,6 +58,9 @@
         self._pool = pool
         self._conn = conn
         self.sent = False
+        self._sock: Any = None
+        self._answered = False
+        self._progress: progress.BodyProgress | None = None
 
     def send(
         self,
@@ -64,6 +70,8 @@
         body: bytes | Iterable[bytes] | None,
         timeout_s: float,
         await_continue: bool = False,
+        stream_timeout_s: float | None = None,
+        source: bodies.Body | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Sends a request and returns the answer with its body unread.
 
@@ -74,6 +82,10 @@
             body: The body.
             timeout_s: Longest wait for progress, in seconds.
             await_continue: Send the body only after an interim answer.
+            stream_timeout_s: Longest wait for a piece of the answer's body,
+                in seconds; None for `timeout_s`.
+            source: Where a streamed body comes from, to listen to the peer
+                while it pauses.
 
         Raises:
             NotSentError: The connection can't be made.
@@ -88,10 +100,18 @@
             except (OSError, urllib3.exceptions.HTTPError) as exc:
                 self.discard()
                 raise NotSentError(str(exc)) from exc
-        conn.sock.settimeout(timeout_s)
+        sock: Any = conn.sock
+        self._sock = sock
+        # The connection sets its own timeout on the socket again and again.
+        conn.timeout = timeout_s
+        sock.settimeout(timeout_s)
         self.sent = True
         if body is not None and not isinstance(body, bytes):
-            body = self._guarded(body, await_continue, timeout_s)
+            body = (
+                self._interim_body(body, source, timeout_s)
+                if await_continue
+                else self._plain_body(body, source)
+            )
         lengths = {name.lower() for name in headers}
         try:
             conn.request(
@@ -104,67 +124,121 @@
                 decode_content=False,
                 enforce_content_length=True,
             )
-        except EarlyAnswerError:
+            self._await_final(timeout_s)
+        except interims.EarlyAnswerError:
             self._pool = _NO_POOL
         except (BrokenPipeError, ConnectionResetError):
             # The peer may have answered before it stopped reading.
             self._pool = _NO_POOL
-        return conn.getresponse()
+        try:
+            resp = conn.getresponse()
+        except http.client.HTTPException as exc:
+            if isinstance(exc, OSError):
+                raise
+            # Raised as it is by the connection, without a pool around it.
+            raise urllib3.exceptions.ProtocolError(str(exc)) from exc
+        sock.settimeout(stream_timeout_s or timeout_s)
+        self._answered = True
+        return resp
 
     def release(self) -> None:
         """Returns the connection after a complete exchange."""
-        self._pool.put(self._conn)
+        if self._answered:
+            self._pool.put(self._conn)
+        else:
+            # Part of a request may be on it.
+            self.discard()
 
     def discard(self) -> None:
         """Closes the connection; it is never used again."""
-        sock = self._conn.sock
+        self.cancel()
+        self._conn.close()
+
+    def cancel(self) -> None:
+        """Ends the exchange from another thread."""
+        # Another thread may wait in this socket; closing alone would leave
+        # it there.
+        sock = self._sock or self._conn.sock
         if sock is not None:
-            # Other threads may wait in this socket; closing alone would
-            # leave them there.
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
-        self._conn.close()
 
-    def _guarded(
-        self, body: Iterable[bytes], interim: bool, silence_s: float
+    def _plain_body(
+        self, body: Iterable[bytes], source: bodies.Body | None
     ) -> Iterator[bytes]:
-        """Yields the pieces while the peer wants them.
-
-        A peer that sends interim answers shows with them that it is alive,
-        however slowly the body comes in.
-        """
-        sock: Any = self._conn.sock
-        if interim:
-            _read_continue(sock)
-        heard_s = time.monotonic()
-        for piece in body:
-            while _is_readable(sock):
-                if not interim:
-                    raise EarlyAnswerError
-                _read_continue(sock)
-                heard_s = time.monotonic()
-            if interim and time.monotonic() - heard_s > silence_s:
-                raise TimeoutError("no interim answer")
+        pieces = iter(body)
+        while True:
+            self._wait_for_body(source, self._refuse_early_answer)
+            piece = next(pieces, b"")
+            if not piece:
+                return
+            self._refuse_early_answer()
             yield piece
 
+    def _refuse_early_answer(self) -> None:
+        if interims.is_readable(self._sock):
+            raise interims.EarlyAnswerError
 
-def _is_readable(sock: socket.socket) -> bool:
-    return bool(select.select([sock], [], [], 0)[0])
+    def _interim_body(
+        self,
+        body: Iterable[bytes],
+        source: bodies.Body | None,
+        silence_s: float,
+    ) -> Iterator[bytes]:
+        """Yields the pieces once the peer asks for them.
 
+        A peer that sends interim answers shows with them that it is alive,
+        however slowly the body comes in.
+        """
+        while not interims.is_admission(interims.read(self._sock, silence_s)):
+            pass
+        seen = progress.BodyProgress(time.monotonic(), silence_s)
+        self._progress = seen
+        pieces = iter(body)
+        while True:
+            self._wait_for_body(source, lambda: self._hear(seen, silence_s))
+            piece = next(pieces, b"")
+            if not piece:
+                return
+            # Small enough to leave in time on a crowded link.
+            for start in range(0, len(piece), SEND_BYTES):
+                self._hear(seen, silence_s)
+                part = piece[start : start + SEND_BYTES]
+                yield part
+                seen.sent(len(part))
+
+    def _wait_for_body(
+        self, source: bodies.Body | None, listen: Callable[[], None]
+    ) -> None:
+        """Waits for bytes of the body and listens to the peer meanwhile.
 
-def _read_continue(sock: socket.socket) -> None:
-    expected = len(servers.CONTINUE)
-    start = sock.recv(expected, socket.MSG_PEEK)
-    if not servers.CONTINUE.startswith(start) or not start:
-        raise EarlyAnswerError
-    got = b""
-    while len(got) < expected:
-        data = sock.recv(expected - len(got))
-        if not data:
-            raise ConnectionResetError("closed before the interim answer")
-        got += data
-    if got != servers.CONTINUE:
-        raise ConnectionResetError("the interim answer is malformed")
+        Raises:
+            errors.RequestError: The body does not go on.
+        """
+        end_s = time.monotonic() + BODY_TIMEOUT_S
+        while source is not None and not source.wait(self._sock, LISTEN_S):
+            listen()
+            if time.monotonic() > end_s:
+                raise errors.RequestError(
+                    errors.Code.BODY_CUT_SHORT,
+                    f"no byte of the body for {BODY_TIMEOUT_S} s",
+                )
+
+    def _hear(self, seen: progress.BodyProgress, silence_s: float) -> None:
+        while interims.is_readable(self._sock):
+            interim = interims.read(self._sock, silence_s)
+            seen.heard(time.monotonic(), interims.waiting_at(interim))
+        if seen.is_silent(time.monotonic()):
+            raise TimeoutError("no interim answer, or the body does not arrive")
+
+    def _await_final(self, silence_s: float) -> None:
+        """Waits for the final answer while the peer reports progress."""
+        seen = self._progress
+        while seen is not None:
+            interim = interims.read(self._sock, silence_s)
+            seen.heard(time.monotonic(), interims.waiting_at(interim))
+            if seen.is_silent(time.monotonic()):
+                raise TimeoutError("the body does not arrive")
 
 
 class Pool:
@@ -261,20 +335,46 @@
     exchange: servers.Exchange,
     resp: urllib3.BaseHTTPResponse,
     headers: list[tuple[str, str]],
+    to_daemon: bool = False,
 ) -> None:
     """Passes an answer on as it arrives.
 
     An answer cut short is cut for the caller too, never passed on as
     complete.
 
+    Args:
+        exchange: Where to pass it on to.
+        resp: The answer.
+        headers: Its headers for the receiver.
+        to_daemon: Whether the receiver is a daemon. Unless the body is there
+            at once it then goes chunked, so that signs of life fit into
+            pauses of the upstream.
+
     Raises:
         errors.RequestError: The answer was cut short.
+        OSError: The receiver has gone, or does not read.
     """
+    piece = _read_piece(resp)
+    if to_daemon and exchange.method != "HEAD":
+        headers = [
+            (servers.LENGTH_HEADER, value)
+            if name.lower() == "content-length" and int(value) > len(piece)
+            else (name, value)
+            for name, value in headers
+        ]
     exchange.start(resp.status, headers)
+    while piece:
+        exchange.write(piece)
+        piece = _read_piece(resp)
+    exchange.finish()
+
+
+def _read_piece(resp: urllib3.BaseHTTPResponse) -> bytes:
     try:
-        for piece in resp.stream(bodies.PIECE_BYTES, decode_content=False):
-            exchange.write(piece)
-    except (urllib3.exceptions.HTTPError, TimeoutError) as exc:
+        # Not read(): it waits until the piece is full, and a slow answer
+        # would look silent to the next hop.
+        return resp.read1(bodies.PIECE_BYTES, decode_content=False) or b""
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
         raise errors.RequestError(
             errors.Code.UPSTREAM_FAILED, f"the answer was cut short: {exc}"
         ) from exc
--- a/packages/core/buckthorn_core/entries.py
+++ b/packages/core/buckthorn_core/entries.py
@@ -138,7 +138,8 @@
     Attributes:
         fingerprint: Digest that recognises the request.
         incarnation: First crash, in ms since the epoch.
-        revision: Raised at each crash and at a clearing completion.
+        revision: Raised at each crash and at a clearing completion, to the
+            time of the change in ms after the first crash.
         crashes: Upstream crashes without a completion in between.
     """
 
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -21,6 +21,7 @@
     QUARANTINED = "quarantined"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_OVERRUN = "body_overrun"
     BODY_CUT_SHORT = "body_cut_short"
     BAD_REQUEST = "bad_request"
     UPSTREAM_FAILED = "upstream_failed"
@@ -58,6 +59,8 @@
     Code.QUARANTINED: Trait(422, True),
     Code.BODY_TOO_LARGE: Trait(413, True),
     Code.HEADERS_TOO_LARGE: Trait(431, True),
+    # Found too large only after a part of the body had been sent.
+    Code.BODY_OVERRUN: Trait(413, False),
     Code.BODY_CUT_SHORT: Trait(400, False),
     Code.BAD_REQUEST: Trait(400, True),
     Code.UPSTREAM_FAILED: Trait(502, False),
--- a/packages/core/buckthorn_core/retries.py
+++ b/packages/core/buckthorn_core/retries.py
@@ -6,6 +6,17 @@
 BUDGET_BURST = 10.0
 MAX_RETRIES = 2
 
+# Every other instance would give the same answer.
+_FINAL_CODES = frozenset(
+    {
+        errors.Code.BAD_REQUEST,
+        errors.Code.BODY_TOO_LARGE,
+        errors.Code.CLAIM_EXPIRED,
+        errors.Code.DEADLINE_PASSED,
+        errors.Code.HEADERS_TOO_LARGE,
+        errors.Code.QUARANTINED,
+    }
+)
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
@@ -56,7 +67,7 @@
     """
     if retries >= MAX_RETRIES or body_consumed:
         return False
-    if exc.code is errors.Code.QUARANTINED:
+    if exc.code in _FINAL_CODES:
         return False
     if not exc.trait.not_run and not idempotent:
         return False
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -17,6 +17,7 @@
 from buckthorn_daemon import headers
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
@@ -79,9 +80,9 @@
         add("summary", summarising.SUMMARY_S, self._summariser.run)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
-            "continue",
-            ingress.CONTINUE_PERIOD_S * 0.8,
-            self._ingress.send_continues,
+            "quarantine",
+            quarantining.TICK_PERIOD_S,
+            quarantining.Guard(self.shared).tick,
         )
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
@@ -102,6 +103,7 @@
         self._peer_server.start()
         self._http.start()
         self._admin_http.start()
+        self._ingress.start()
         self._scheduler.start()
         _logger.info("started", daemon=self._cfg.daemon_id)
 
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -16,14 +16,16 @@
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import meshes
+from buckthorn_core import progress
+from buckthorn_core import quarantines
 from buckthorn_core import retries
 from buckthorn_core import snapshots
 from buckthorn_daemon import headers
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import state
 
-# An ingress shows that it is alive every second, so three seconds without a
-# byte mean that the connection is silent.
-SILENCE_S = 3.0
+# Daemons add some headers, which must fit into the next daemon's limit too.
+MAX_CALLER_HEADER_BYTES = servers.MAX_HEADER_BYTES - 1_024
 
 
 class Call:
@@ -34,7 +36,8 @@
         deadline_s: Its deadline in local monotonic seconds.
         idempotent: Whether it may run more than once.
         body: The body, if it is small enough to be sent again.
-        body_consumed: Whether bytes of a long body have been sent.
+        body_consumed: Whether bytes that can't be sent again have been sent.
+        fingerprint: Recognises the request if it comes again.
         tried: Daemons that it was sent to.
     """
 
@@ -63,12 +66,40 @@
         self.streams = length is None or length > bodies.PIECE_BYTES
         if not self.streams:
             self.body = b"".join(exchange.body.pieces())
+        self.fingerprint = self._fingerprint()
+
+    def _fingerprint(self) -> ids.Fingerprint:
+        key = self.exchange.headers.get(headers.OPERATION_KEY.lower())
+        prefix = self.body or b""
+        if self.streams and key is None:
+            body = self.exchange.body
+            while len(prefix) < quarantines.PREFIX_BYTES:
+                piece = body.read()
+                if not piece:
+                    break
+                prefix += piece
+            body.unread(prefix)
+        return quarantines.fingerprint(
+            self.route.service,
+            self.exchange.method,
+            self.exchange.path,
+            key,
+            prefix,
+        )
 
     def pieces(self) -> Iterator[bytes]:
         """Yields the pieces of a long body."""
-        for piece in self.exchange.body.pieces():
-            self.body_consumed = True
-            yield piece
+        try:
+            for piece in self.exchange.body.pieces():
+                self.body_consumed = True
+                yield piece
+        except errors.RequestError as exc:
+            if not exc.trait.not_run:
+                raise
+            # The upstream has the request's headers, and perhaps more.
+            raise errors.RequestError(
+                errors.Code.BODY_OVERRUN, exc.message
+            ) from exc
 
 
 class Egress:
@@ -77,6 +108,7 @@
     def __init__(self, shared: state.State):
         self._shared = shared
         self._pools = upstreams.Pools()
+        self._guard = quarantining.Guard(shared)
         self._observations = choices.Observations()
         self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
         self._policy = choices.get(shared.cfg.choice_policy)
@@ -139,6 +171,11 @@
             raise errors.RequestError(
                 errors.Code.NOT_READY, "the configuration is not known yet", 1.0
             )
+        if exchange.header_bytes > MAX_CALLER_HEADER_BYTES:
+            raise errors.RequestError(
+                errors.Code.HEADERS_TOO_LARGE,
+                f"the headers are over {MAX_CALLER_HEADER_BYTES} bytes",
+            )
         path = exchange.path.split("?", 1)[0]
         route = snapshot.view.match(path)
         if route is None:
@@ -152,26 +189,43 @@
             )
             budget.add_request()
         tries = 0
+        ran: errors.RequestError | None = None
         while True:
-            endpoint = self._choose(call)
-            call.tried.add(endpoint.daemon)
             try:
+                self._guard.check(call.fingerprint)
+                endpoint = self._choose(call)
+                call.tried.add(endpoint.daemon)
                 self._try(call, endpoint)
                 return
             except errors.RequestError as exc:
                 if call.exchange.started:
                     raise
-                with self._lock:
-                    again = retries.may_retry(
-                        exc, call.idempotent, call.body_consumed, tries, budget
-                    )
-                if not again or not self._candidates(call):
-                    raise
+                if not exc.trait.not_run:
+                    ran = exc
+                if not self._goes_on(call, exc, tries, budget):
+                    # A refusal of this try does not unmake an earlier one.
+                    raise (ran or exc) from exc
                 tries += 1
                 self._shared.metrics.count(
                     "buckthorn_retries", service=call.route.service
                 )
 
+    def _goes_on(
+        self,
+        call: Call,
+        exc: errors.RequestError,
+        tries: int,
+        budget: retries.RetryBudget,
+    ) -> bool:
+        if not self._candidates(call):
+            return False
+        if self._guard.is_refused(call.fingerprint):
+            return False
+        with self._lock:
+            return retries.may_retry(
+                exc, call.idempotent, call.body_consumed, tries, budget
+            )
+
     def _candidates(self, call: Call) -> list[endpoints.Endpoint]:
         shared = self._shared
         view = call.snapshot.view
@@ -245,6 +299,7 @@
         out = headers.for_ingress(
             call.exchange, left_s, call.snapshot.version.number
         )
+        out[headers.SUSPICION] = self._guard.header(call.fingerprint)
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
         lease = self._pools.take(endpoint.address, not call.idempotent)
@@ -254,9 +309,12 @@
                 call.exchange.path,
                 out,
                 call.pieces() if call.streams else call.body or None,
-                min(SILENCE_S, left_s + 0.25),
+                min(progress.SILENCE_S, left_s + 0.25),
                 await_continue=call.streams,
+                stream_timeout_s=progress.SILENCE_S,
+                source=call.exchange.body if call.streams else None,
             )
+            self._guard.learn(resp.headers)
             self._raise_typed(resp)
             upstreams.relay_answer(
                 call.exchange, resp, headers.for_caller(resp.headers)
@@ -271,29 +329,25 @@
             else:
                 lease.discard()
             raise
-        except TimeoutError as exc:
-            lease.discard()
-            raise errors.RequestError(
-                errors.Code.UPSTREAM_SILENT,
-                f"no byte from {endpoint.address} for {SILENCE_S} s",
-            ) from exc
-        except urllib3.exceptions.HTTPError as exc:
+        except (OSError, urllib3.exceptions.HTTPError) as exc:
             lease.discard()
-            raise errors.RequestError(
-                errors.Code.UPSTREAM_FAILED, str(exc)
-            ) from exc
-        except OSError as exc:
-            lease.discard()
-            if call.exchange.started:
+            if isinstance(exc, OSError) and call.exchange.started:
+                # The caller has gone, or does not read its answer.
                 raise
+            silent = isinstance(exc, TimeoutError)
             raise errors.RequestError(
-                errors.Code.UPSTREAM_FAILED, str(exc)
+                errors.Code.UPSTREAM_SILENT
+                if silent
+                else errors.Code.UPSTREAM_FAILED,
+                f"{endpoint.address}: {exc}",
             ) from exc
         lease.release()
+        self._guard.complete(call.fingerprint)
 
     def _raise_typed(self, resp: Any) -> None:
         code = resp.headers.get(servers.NOT_RUN_HEADER)
         if code is None:
+            self._raise_unknown(resp)
             return
         text = resp.read(decode_content=False).decode("utf-8", "replace")
         retry_after = resp.headers.get("Retry-After")
@@ -302,3 +356,13 @@
             text.strip(),
             float(retry_after) if retry_after else None,
         )
+
+    def _raise_unknown(self, resp: Any) -> None:
+        """Raises what the other daemon says of a request that may have run.
+
+        Only a failed connection to the upstream lets an idempotent request
+        try another one; other answers are passed on as they are.
+        """
+        if servers.OUTCOME_HEADER in resp.headers and resp.status == 502:
+            text = resp.read(decode_content=False).decode("utf-8", "replace")
+            raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
--- a/packages/daemon/buckthorn_daemon/headers.py
+++ b/packages/daemon/buckthorn_daemon/headers.py
@@ -13,6 +13,7 @@
 AWAIT = "Buckthorn-Await"
 AWAIT_ADMISSION = "admission"
 EXPIRES = "Buckthorn-Expires"
+SUSPICION = "Buckthorn-Suspicion"
 OPERATION_KEY = "Idempotency-Key"
 
 DEFAULT_DEADLINE_S = 5.0
@@ -34,7 +35,13 @@
     }
 )
 _INTERNAL = frozenset(
-    {HOP.lower(), AWAIT.lower(), VERSION.lower(), EXPIRES.lower()}
+    {
+        HOP.lower(),
+        AWAIT.lower(),
+        VERSION.lower(),
+        EXPIRES.lower(),
+        SUSPICION.lower(),
+    }
 )
 
 
@@ -120,10 +127,21 @@
     return found
 
 
+def for_daemon(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Returns the headers of an upstream's answer for the other daemon."""
+    dropped = (servers.LENGTH_HEADER.lower(), servers.OUTCOME_HEADER.lower())
+    return [pair for pair in for_caller(headers) if pair[0] not in dropped]
+
+
 def for_caller(headers: Mapping[str, str]) -> list[tuple[str, str]]:
     """Returns the headers of an answer as they are passed on."""
     # Date and Server are set anew by the server if they are missing.
-    return list(_end_to_end({k.lower(): v for k, v in headers.items()}).items())
+    found = _end_to_end({k.lower(): v for k, v in headers.items()})
+    found.pop(SUSPICION.lower(), None)
+    length = found.pop(servers.LENGTH_HEADER.lower(), None)
+    if length is not None:
+        found["content-length"] = length
+    return list(found.items())
 
 
 def left_s(deadline: float) -> float:
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -14,11 +14,15 @@
 from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_daemon import crashes
 from buckthorn_daemon import headers
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import state
 
 ANNOUNCE_TIMEOUT_S = 3.0
-CONTINUE_PERIOD_S = 1.0
+LIFE_PERIOD_S = 0.8
+# An upstream may pause this long inside an answer.
+STREAM_TIMEOUT_S = 30.0
 MIN_TIMEOUT_S = 0.001
 
 _logger = loguru.logger.bind(module=__name__)
@@ -53,21 +57,35 @@
         self._waiting: dict[int, threading.Event] = {}
         self._upstream: Announcement | None = None
         self._announced_s = state.NEVER_S
-        self._in_progress: set[servers.Exchange] = set()
+        self._in_progress: dict[servers.Exchange, upstreams.Lease | None] = {}
+        self._guard = quarantining.Guard(shared)
+        self._crashes = crashes.CrashWatch(self._guard)
+        self._stop = threading.Event()
+        # Not a job of the scheduler: its workers may all wait for a network
+        # that fails, and every request would look silent meanwhile.
+        self._life = threading.Thread(
+            target=self._show_life, name="life", daemon=True
+        )
 
     @property
     def idle(self) -> bool:
         """Whether no request runs or waits."""
         return self._admission.idle
 
+    def start(self) -> None:
+        """Starts to show the other daemons that their requests are alive."""
+        self._life.start()
+
     def close(self) -> None:
         """Closes the connections to the upstream."""
+        self._stop.set()
         self._pools.close()
 
     def stop_admitting(self) -> None:
-        """Refuses all new requests from now on."""
+        """Refuses all new requests, and those that wait, from now on."""
         with self._lock:
             self._admission.closed = True
+            self._refuse_waiting()
 
     def announce(self, upstream: Announcement) -> None:
         """Takes an announcement of the upstream."""
@@ -77,6 +95,8 @@
                 return
             self._upstream = upstream
             self._admission.set_limits(self._limits(upstream))
+            if upstream.state is entries.UpstreamState.DRAINING:
+                self._refuse_waiting()
         self._publish(upstream)
 
     def check_upstream(self) -> None:
@@ -86,19 +106,35 @@
             quiet_s = time.monotonic() - self._announced_s
             if upstream is None or quiet_s < ANNOUNCE_TIMEOUT_S:
                 return
+        self._crashes.upstream_gone()
+        self._take_down(upstream)
+
+    def _take_down(self, upstream: Announcement) -> None:
+        with self._lock:
+            if self._upstream is not upstream:
+                return
             self._upstream = None
+            self._refuse_waiting()
         _logger.warning("upstream_gone", service=upstream.service)
         self._publish(
             msgspec.structs.replace(upstream, state=entries.UpstreamState.DOWN)
         )
 
-    def send_continues(self) -> None:
-        """Shows the other daemons that their requests are being worked on."""
-        for exchange in list(self._in_progress):
-            try:
-                exchange.send_continue()
-            except OSError:
-                self._in_progress.discard(exchange)
+    def _refuse_waiting(self) -> None:
+        """Wakes those that wait for a slot; their checks refuse them."""
+        for ready in self._waiting.values():
+            ready.set()
+
+    def _show_life(self) -> None:
+        while not self._stop.wait(LIFE_PERIOD_S):
+            for exchange, lease in list(self._in_progress.items()):
+                try:
+                    exchange.show_life()
+                except OSError:
+                    # Nobody waits for the answer any more.
+                    self._in_progress.pop(exchange, None)
+                    if lease is not None:
+                        lease.cancel()
 
     def handle(self, exchange: servers.Exchange) -> None:
         """Admits a request and relays it.
@@ -107,7 +143,9 @@
             errors.RequestError: The request is refused or has failed.
         """
         deadline_s = headers.deadline_s(exchange, time.monotonic())
-        upstream = self._check(exchange)
+        self._check(exchange)
+        name = self._guard.learn(exchange.headers)
+        self._guard.check(name)
         with self._lock:
             ticket = self._admission.enter(time.monotonic(), deadline_s)
             running = self._admission.is_running(ticket)
@@ -115,14 +153,17 @@
             if not running:
                 self._waiting[ticket.number] = ready
         started_s: float | None = None
-        self._in_progress.add(exchange)
+        self._in_progress[exchange] = None
         try:
             if not running:
                 self._wait(ticket, ready)
+            # Things may have changed while it waited.
+            upstream = self._check(exchange)
+            self._guard.check(name)
             started_s = time.monotonic()
-            self._relay(exchange, upstream, deadline_s)
+            self._relay(exchange, upstream, deadline_s, name)
         finally:
-            self._in_progress.discard(exchange)
+            self._in_progress.pop(exchange, None)
             self._leave(ticket, started_s)
 
     def _check(self, exchange: servers.Exchange) -> Announcement:
@@ -163,11 +204,14 @@
 
     def _wait(self, ticket: admission.Ticket, ready: threading.Event) -> None:
         remaining_s = ticket.deadline_s - time.monotonic()
-        if ready.wait(max(0.0, remaining_s)):
-            return
+        woken = ready.wait(max(0.0, remaining_s))
         with self._lock:
             if self._admission.is_running(ticket):
                 return
+        if woken:
+            raise errors.RequestError(
+                errors.Code.DRAINING, "the upstream takes no new work", 1.0
+            )
         raise errors.RequestError(
             errors.Code.DEADLINE_PASSED, "no slot became free in time", 0.1
         )
@@ -186,9 +230,10 @@
         exchange: servers.Exchange,
         upstream: Announcement,
         deadline_s: float,
+        name: ids.Fingerprint | None,
     ) -> None:
         if headers.awaits_admission(exchange):
-            exchange.send_continue()
+            exchange.admit()
         left_s = deadline_s - time.monotonic()
         if left_s <= 0:
             raise errors.RequestError(
@@ -196,7 +241,9 @@
             )
         address = ids.Address(f"127.0.0.1:{upstream.port}")
         lease = self._pools.take(address, proven=True)
+        self._in_progress[exchange] = lease
         body = exchange.body.pieces() if exchange.body.remaining else None
+        flight = self._crashes.begin(name)
         try:
             resp = lease.send(
                 exchange.method,
@@ -204,17 +251,24 @@
                 headers.for_upstream(exchange, left_s),
                 body,
                 max(MIN_TIMEOUT_S, left_s),
+                stream_timeout_s=STREAM_TIMEOUT_S,
+                source=exchange.body,
             )
             self._check_shed(resp, lease)
             upstreams.relay_answer(
-                exchange, resp, headers.for_caller(resp.headers)
+                exchange, resp, headers.for_daemon(resp.headers), to_daemon=True
             )
+            self._crashes.complete(flight)
         except upstreams.NotSentError as exc:
+            if crashes.refuses(upstream.port):
+                self._take_down(upstream)
             raise errors.RequestError(
                 errors.Code.NO_UPSTREAM, str(exc), 1.0
             ) from exc
-        except errors.BuckthornError:
+        except errors.BuckthornError as exc:
             lease.discard()
+            if exc.code is errors.Code.UPSTREAM_FAILED:
+                self._on_lost(upstream)
             raise
         except TimeoutError as exc:
             # Closing the connection cancels the request at the upstream.
@@ -224,11 +278,26 @@
             ) from exc
         except (OSError, urllib3.exceptions.HTTPError) as exc:
             lease.discard()
+            if exchange.started:
+                # Reading from the upstream raises typed errors by now: it
+                # was the other daemon that went away.
+                raise
+            self._on_lost(upstream)
+            self._guard.attach(exchange, name)
             raise errors.RequestError(
                 errors.Code.UPSTREAM_FAILED, str(exc)
             ) from exc
+        finally:
+            self._crashes.end(flight)
         lease.release()
 
+    def _on_lost(self, upstream: Announcement) -> None:
+        # One that is leaving closes its connections without a crash.
+        if upstream.state is entries.UpstreamState.DRAINING:
+            return
+        if self._crashes.lost(upstream.port):
+            self._take_down(upstream)
+
     def _check_shed(self, resp: Any, lease: upstreams.Lease) -> None:
         if servers.NOT_RUN_HEADER not in resp.headers:
             return
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -18,6 +18,7 @@
 from buckthorn_core import membership
 from buckthorn_core import meshes
 from buckthorn_core import messages
+from buckthorn_core import quarantines
 from buckthorn_core import relays
 from buckthorn_core import roles
 from buckthorn_core import snapshots
@@ -51,6 +52,7 @@
             self._own_record(), self.table, self.rng
         )
         self.endpoints = endpoints.EndpointIndex(cfg.region, self.table)
+        self.quarantines = quarantines.Quarantines(self.table)
         self.relay = relays.Relay(compressors.ZstdDeltaCodec())
         self.acks = acks.AckTree(cfg.daemon_id)
         self.holder = snapshots.SnapshotHolder()
--- a/packages/daemon/buckthorn_daemon/summarising.py
+++ b/packages/daemon/buckthorn_daemon/summarising.py
@@ -26,6 +26,9 @@
     def __init__(self, shared: state.State):
         self._shared = shared
         self._sent: dict[ids.RegionName, dict[str, entries.Entry]] = {}
+        self._suspicions_sent: dict[
+            ids.RegionName, dict[str, entries.Suspicion]
+        ] = {}
         self._sent_s: dict[ids.RegionName, float] = {}
 
     def run(self) -> None:
@@ -106,13 +109,19 @@
         region = contact.region
         sent = self._sent.get(region, {})
         changed = [e for key, e in own.items() if sent.get(key) != e]
+        with shared.lock:
+            # Not part of the digest: the other region may know them already
+            # from requests that crossed.
+            suspicions = shared.quarantines.to_other_regions()
+        held = self._suspicions_sent.get(region, {})
+        news = [s for s in suspicions if held.get(s.key) != s]
         quiet_s = time.monotonic() - self._sent_s.get(region, state.NEVER_S)
-        if not changed and quiet_s < KEEPALIVE_S:
+        if not changed and not news and quiet_s < KEEPALIVE_S:
             return
         if not contact.addresses:
             return
         digest = _digest(own.values())
-        message = messages.Summary(shared.cfg.region, changed, digest)
+        message = messages.Summary(shared.cfg.region, [*changed, *news], digest)
         address = shared.rng.choice(contact.addresses)
         try:
             envelope = shared.client.request(
@@ -121,6 +130,7 @@
         except errors.PeerError:
             shared.metrics.count("buckthorn_summary_failures")
             return
+        self._suspicions_sent[region] = {s.key: s for s in suspicions}
         reply = envelope.payload
         if isinstance(reply, messages.SummaryReply) and reply.digest == digest:
             self._sent[region] = own
--- /dev/null
+++ b/tests/daemon/pairs.py
@@ -0,0 +1,175 @@
+"""An egress and an ingress in one process, with an upstream made of sockets."""
+
+from collections.abc import Callable
+import pathlib
+import socket
+import threading
+
+from buckthorn_adapters import servers
+from buckthorn_client import files
+from buckthorn_core import entries
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_daemon import egress
+from buckthorn_daemon import ingress
+from buckthorn_daemon import settings
+from buckthorn_daemon import state
+
+DEPLOY = pathlib.Path(__file__).parents[2] / "deploy" / "kulhus"
+SITE = ids.SiteName("aarhus-havn")
+SILENCE_S = 0.8
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+Script = Callable[[socket.socket, bytes], None]
+
+
+class SocketServer:
+    """Runs a script for each connection, after its first bytes."""
+
+    def __init__(self, script: Script):
+        self.received: list[bytes] = []
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._run, args=(conn,), daemon=True
+            ).start()
+
+    def _run(self, conn: socket.socket) -> None:
+        with conn:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                data = conn.recv(65_536)
+                if not data:
+                    return
+                head += data
+            self.received.append(head)
+            try:
+                self._script(conn, head)
+            except OSError:
+                return
+
+    def stop_listening(self) -> None:
+        # Wakes the thread in accept(), which keeps the port open otherwise.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+
+def make_state(name: str, port: int = 1) -> state.State:
+    address = ids.Address(f"127.0.0.1:{port}")
+    shared = state.State(
+        settings.Settings(
+            daemon_id=ids.DaemonId(name),
+            region=ids.RegionName("jylland"),
+            site=SITE,
+            peer_listen=address,
+            http_listen=address,
+            admin_listen=address,
+            http_address=address,
+            log_url="http://127.0.0.1:1",
+            log_region=ids.RegionName("jylland"),
+            publish_key="k" * 16,
+            peer_key="k" * 16,
+        )
+    )
+    raw = meshes.encode(files.BundleFiles(DEPLOY).load())
+    version = meshes.VersionId(ids.VersionNumber(1), meshes.digest(raw))
+    shared.apply(version, raw)
+    shared.holder.confirm_floor()
+    return shared
+
+
+class Pair:
+    """Egress and ingress.
+
+    Attributes:
+        port: Where callers connect.
+    """
+
+    def __init__(self) -> None:
+        self.sender = make_state("sender")
+        self.beside = make_state("beside")
+        self.egress = egress.Egress(self.sender)
+        self.ingress = ingress.Ingress(self.beside)
+        self.ingress.start()
+        self._front = self._serve(self.egress.handle)
+        self._back = self._serve(self.ingress.handle)
+        self.port = self._front.port
+
+    def _serve(self, handler: servers.Handler) -> servers.HttpServer:
+        server = servers.HttpServer("127.0.0.1:0", 8, handler)
+        server.start()
+        return server
+
+    def connect(self, upstream: SocketServer, slots: int = 4) -> None:
+        """Puts an upstream beside the ingress, for all services."""
+        self.announce(upstream.port, entries.UpstreamState.UP, slots)
+        self.add_endpoint("beside", self._back.port)
+
+    def announce(
+        self, port: int, upstream_state: entries.UpstreamState, slots: int = 4
+    ) -> None:
+        self.ingress.announce(
+            ingress.Announcement(
+                ids.ServiceName("delivery-booking"),
+                port,
+                upstream_state,
+                slots,
+                100,
+            )
+        )
+
+    def add_endpoint(self, name: str, port: int) -> None:
+        """Lets the egress see a daemon with a delivery-booking upstream."""
+        record = make_state(name, port).membership.me
+        values = {f: getattr(record, f) for f in record.__struct_fields__}
+        values |= {
+            "state": entries.MemberState.UP,
+            "service": ids.ServiceName("delivery-booking"),
+            "upstream_state": entries.UpstreamState.UP,
+            "slots": 4,
+        }
+        self.sender.table.put(entries.Member(**values))
+
+    def call(self, request: bytes, timeout_s: float = 10.0) -> bytes:
+        """Sends bytes and returns all bytes that come until the close."""
+        address = ("127.0.0.1", self.port)
+        with socket.create_connection(address, timeout_s) as sock:
+            sock.sendall(request)
+            return read_all(sock)
+
+    def close(self) -> None:
+        self.ingress.close()
+        # Waits a second for each server, which no test has to wait for.
+        for server in (self._front, self._back):
+            threading.Thread(target=server.close, daemon=True).start()
+
+
+def read_all(sock: socket.socket) -> bytes:
+    found = b""
+    while data := sock.recv(65_536):
+        found += data
+    return found
+
+
+def body_of(answer: bytes) -> bytes:
+    """Returns the body of an answer, without chunks."""
+    head, _, rest = answer.partition(b"\r\n\r\n")
+    if b"chunked" not in head.lower():
+        return rest
+    body = b""
+    while True:
+        size, _, rest = rest.partition(b"\r\n")
+        if int(size, 16) == 0:
+            assert rest == b"\r\n"
+            return body
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
--- /dev/null
+++ b/tests/daemon/test_hops.py
@@ -0,0 +1,285 @@
+"""Answers and bodies through both daemons, with an upstream of sockets."""
+
+import socket
+import threading
+import time
+
+import pairs
+import pytest
+
+from buckthorn_core import entries
+from buckthorn_core import progress
+from buckthorn_daemon import ingress
+
+
+@pytest.fixture
+def pair(monkeypatch):
+    monkeypatch.setattr(progress, "SILENCE_S", pairs.SILENCE_S)
+    monkeypatch.setattr(ingress, "LIFE_PERIOD_S", pairs.SILENCE_S / 4)
+    found = pairs.Pair()
+    yield found
+    found.close()
+
+
+CLOSE = b"Host: x\r\nConnection: close\r\n"
+GET = b"GET /bookings/1 HTTP/1.1\r\n" + CLOSE + b"\r\n"
+CHUNKED = (
+    b"POST /bookings/1 HTTP/1.1\r\n"
+    + CLOSE
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+)
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# Longer than the silence limit of the fixture, and than the second that
+# connections are given to be made.
+PAUSE_S = 1.6 * pairs.SILENCE_S
+LARGE = bytes(range(256)) * 20_000
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def sends(*parts: bytes | float) -> pairs.Script:
+    """Returns a script that sends bytes and pauses."""
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        for part in parts:
+            if isinstance(part, float):
+                time.sleep(part)
+            else:
+                conn.sendall(part)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("parts", "body"),
+    [
+        ((HEAD, b"Content-Length: 6\r\n\r\nabc", PAUSE_S, b"def"), b"abcdef"),
+        ((HEAD, PAUSE_S, b"Content-Length: 2\r\n\r\nab"), b"ab"),
+        (
+            (
+                HEAD,
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                chunk(b"abc"),
+                PAUSE_S,
+                chunk(b"def") + b"0\r\n\r\n",
+            ),
+            b"abcdef",
+        ),
+        ((HEAD, b"Content-Length: 5120000\r\n\r\n" + LARGE), LARGE),
+        (
+            (
+                HEAD,
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                chunk(LARGE) + b"0\r\n\r\n",
+            ),
+            LARGE,
+        ),
+        ((HEAD, b"Content-Length: 0\r\n\r\n"), b""),
+        ((HEAD, b"Connection: close\r\n\r\n", b"to the end"), b"to the end"),
+    ],
+)
+def test_whole_answers(pair, parts, body):
+    """Guards against answers cut because the upstream is slow or long."""
+    pair.connect(pairs.SocketServer(sends(*parts)))
+    answer = pair.call(GET)
+    assert answer.startswith(b"HTTP/1.1 200"), answer[:200]
+    assert pairs.body_of(answer) == body
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (HEAD, b"Content-Length: 6\r\n\r\nabc"),
+        (HEAD, b"Transfer-Encoding: chunked\r\n\r\n6\r\nabc"),
+        (HEAD, b"Transfer-Encoding: chunked\r\n\r\n" + chunk(b"abc")),
+    ],
+)
+def test_short_answers_are_cut(pair, parts):
+    """Guards against an answer cut short that looks complete."""
+    pair.connect(pairs.SocketServer(sends(*parts)))
+    answer = pair.call(GET)
+    if b" 200 " in answer[:20]:
+        length = b"ength: 6" in answer
+        assert length or not answer.endswith(b"0\r\n\r\n")
+        assert not answer.endswith(b"abcdef")
+    else:
+        assert answer.startswith(b"HTTP/1.1 502")
+        assert b"Buckthorn-Not-Run" not in answer
+
+
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"502"),
+        (HEAD + b"X: " + b"y" * 70_000 + b"\r\n\r\n", b"502"),
+        (HEAD + b"X: y\r\n" * 200 + b"\r\n", b"502"),
+        (b"", b"502"),
+    ],
+)
+def test_malformed_answers(pair, answer, status):
+    """Guards against an internal error, or a claim that it has not run."""
+    pair.connect(pairs.SocketServer(sends(answer)))
+    found = pair.call(GET.replace(b"GET", b"POST"))
+    assert found.split(b" ")[1] == status
+    assert b"Buckthorn-Outcome: unknown" in found
+    assert b"Buckthorn-Not-Run" not in found
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "reaches"),
+    [
+        (GET.replace(b"GET", b"HEAD"), b"200", True),
+        (CHUNKED + chunk(b"x") + b"0\r\n\r\n", b"200", True),
+        (CHUNKED + b"0000000000000001\r\nx\r\n0\r\n\r\n", b"200", True),
+        (
+            CHUNKED.replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+            + b"0\r\n\r\n",
+            b"200",
+            True,
+        ),
+        (CHUNKED + b"ffffffffffffffff\r\n" + bytes(2 << 20), b"413", None),
+        (CHUNKED + b"-1\r\n", b"400", None),
+        (CHUNKED.replace(b"1.1", b"1.0") + chunk(b"x"), b"400", False),
+        (GET[:-2] + b"Content-Length: -1\r\n\r\n", b"400", False),
+        (GET[:-2] + b"Content-Length: +1\r\n\r\nx", b"400", False),
+        (CHUNKED[:-2] + b"Content-Length: 1\r\n\r\n", b"400", False),
+        (GET[:-2] + b"X: " + b"y" * 32_000 + b"\r\n\r\n", b"431", False),
+        (GET[:-2] + b"X: " + b"y" * 90_000 + b"\r\n\r\n", b"431", False),
+    ],
+)
+def test_requests(pair, request_bytes, status, reaches):
+    """Guards against lengths that two readers read differently."""
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        if b"chunked" in head:
+            while not head.endswith(b"0\r\n\r\n"):
+                data = conn.recv(65_536)
+                if not data:
+                    return
+                head += data
+        conn.sendall(
+            HEAD + b"Content-Length: 2\r\n\r\n"
+            if head.startswith(b"HEAD")
+            else pairs.OK
+        )
+
+    upstream = pairs.SocketServer(script)
+    pair.connect(upstream)
+    answer = pair.call(request_bytes)
+    answer = answer.removeprefix(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert answer.split(b" ")[1] == status
+    if reaches is not None:
+        assert bool(upstream.received) == reaches
+    assert not (upstream.received and b"Buckthorn-Not-Run" in answer)
+
+
+def test_pipelined_requests_are_answered_in_order(pair):
+    """Guards against a body reader that takes bytes of the next request."""
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        path = head.split(b" ")[1]
+        conn.sendall(HEAD + b"Content-Length: 11\r\n\r\n" + path)
+
+    pair.connect(pairs.SocketServer(script))
+    first = GET.replace(b"Connection: close\r\n", b"")
+    answers = pair.call(first + GET.replace(b"s/1", b"s/2"))
+    assert answers.count(b" 200 ") == 2
+    assert answers.index(b"/bookings/1") < answers.index(b"/bookings/2")
+
+
+def test_early_answer_to_a_long_upload_arrives(pair):
+    """Guards against an early answer lost in a connection reset."""
+    pair.connect(
+        pairs.SocketServer(
+            sends(b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\nno")
+        )
+    )
+    answer = pair.call(CHUNKED + chunk(bytes(65_536)) * 8)
+    assert answer.startswith(b"HTTP/1.1 409")
+    assert pairs.body_of(answer) == b"no"
+
+
+def test_refused_retry_does_not_hide_a_try_that_may_have_run(pair):
+    """Guards against "not run" after a first try reached an upstream."""
+    calls: list[bytes] = []
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        calls.append(head)
+        if len(calls) > 1:
+            conn.sendall(
+                b"HTTP/1.1 503 X\r\nBuckthorn-Not-Run: slots_full\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+    peer = pairs.SocketServer(script)
+    pair.add_endpoint("one", peer.port)
+    pair.add_endpoint("two", peer.port)
+    answer = pair.call(GET)
+    assert len(calls) == 2
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert b"Buckthorn-Not-Run" not in answer
+
+
+def test_draining_upstream_takes_no_queued_request(pair):
+    """Guards against queued work that starts after the upstream left."""
+    release = threading.Event()
+    running = threading.Event()
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        running.set()
+        release.wait(10)
+        conn.sendall(pairs.OK)
+
+    upstream = pairs.SocketServer(script)
+    pair.connect(upstream, slots=1)
+    answers: list[bytes] = []
+    callers = [
+        threading.Thread(target=lambda: answers.append(pair.call(GET)))
+        for _ in range(2)
+    ]
+    callers[0].start()
+    assert running.wait(5)
+    callers[1].start()
+    wait_until(lambda: pair.ingress._admission.waiting == 1)
+    pair.announce(upstream.port, entries.UpstreamState.DRAINING, 1)
+    wait_until(lambda: len(answers) == 1)
+    assert b"Buckthorn-Not-Run: draining" in answers[0]
+    release.set()
+    callers[0].join(5)
+    assert pairs.body_of(answers[1]) == b"ok"
+    assert len(upstream.received) == 1
+
+
+def test_crash_marks_all_in_flight_and_takes_the_upstream_down(pair):
+    """Guards against a crash that nobody counts, or that counts twice."""
+    upstream = pairs.SocketServer(lambda conn, head: upstream.stop_listening())
+    pair.connect(upstream)
+    answer = pair.call(GET.replace(b"GET", b"POST"))
+    assert answer.startswith(b"HTTP/1.1 502")
+    for shared in (pair.sender, pair.beside):
+        found = [
+            e
+            for e in shared.table.entries.values()
+            if isinstance(e, entries.Suspicion)
+        ]
+        assert [e.crashes for e in found] == [1]
+    me = pair.beside.membership.me
+    assert me.upstream_state is entries.UpstreamState.DOWN
+    again = pairs.SocketServer(lambda conn, head: again.stop_listening())
+    pair.connect(again)
+    pair.call(GET.replace(b"GET", b"POST"))
+    pair.connect(pairs.SocketServer(sends(pairs.OK)))
+    refused = pair.call(GET.replace(b"GET", b"POST"))
+    assert refused.startswith(b"HTTP/1.1 422")
+    assert b"Buckthorn-Not-Run: quarantined" in refused
+    other = pair.call(GET.replace(b"GET", b"POST").replace(b"s/1", b"s/2"))
+    assert other.startswith(b"HTTP/1.1 200")
+
+
+def wait_until(done, timeout_s: float = 5.0) -> None:
+    end_s = time.monotonic() + timeout_s
+    while not done():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
