Add burn rates of services, gathered up the distribution tree

Operators could not see how fast a service uses up its error budget, nor which daemons and causes use it.

--- a/packages/core/buckthorn_core/messages.py
+++ b/packages/core/buckthorn_core/messages.py
@@ -172,6 +172,39 @@
     laggards: list[ids.DaemonId]
 
 
+class BurnReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="burn_report"
+):
+    """Counts of requests since the last report.
+
+    Attributes:
+        batch: Random id; a repeated batch is not counted again.
+        mirror: Whether it is the root's copy for its standby.
+        data: Compressed `burn.Slice` list.
+    """
+
+    batch: int
+    mirror: bool
+    data: bytes
+
+
+class BurnQuery(msgspec.Struct, frozen=True, array_like=True, tag="burn_query"):
+    """Asks the root for burn rates; an empty service asks for all."""
+
+    service: str
+    limit: int
+
+
+class BurnCopy(msgspec.Struct, frozen=True, array_like=True, tag="burn_copy"):
+    """Asks the root or its standby for the whole history of counts."""
+
+
+class BurnData(msgspec.Struct, frozen=True, array_like=True, tag="burn_data"):
+    """Compressed `burn_reports.Report` or `burn_history.Copy`."""
+
+    data: bytes
+
+
 Payload = (
     Ack
     | Failed
@@ -190,6 +223,10 @@
     | SummaryReply
     | StatusQuery
     | StatusReply
+    | BurnReport
+    | BurnQuery
+    | BurnCopy
+    | BurnData
 )
 
 
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -1,6 +1,7 @@
 """Local HTTP interface: announcements, status, metrics."""
 
 from collections.abc import Callable
+import urllib.parse
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from buckthorn_core import errors
 from buckthorn_core import roles
 from buckthorn_core import traffic
+from buckthorn_daemon import burning
 from buckthorn_daemon import ingress
 from buckthorn_daemon import relaying
 from buckthorn_daemon import state
@@ -36,10 +38,12 @@
         shared: state.State,
         local: ingress.Ingress,
         distributor: relaying.Distributor,
+        burner: burning.Burner,
     ):
         self.shared = shared
         self.local = local
         self.distributor = distributor
+        self.burner = burner
 
     def handle(self, exchange: servers.Exchange) -> None:
         """Serves a request.
@@ -107,6 +111,18 @@
     exchange.answer(200, msgspec.json.encode(document))
 
 
+@endpoint("GET", "/v1/burn")
+def _burn(admin: Admin, exchange: servers.Exchange) -> None:
+    query = urllib.parse.parse_qs(urllib.parse.urlsplit(exchange.path).query)
+    limit = query.get("limit", [str(burning.DEFAULT_LIMIT)])[0]
+    if not limit.isdecimal():
+        raise errors.RequestError(
+            errors.Code.BAD_REQUEST, "limit is not a number"
+        )
+    report = admin.burner.report(query.get("service", [""])[0], int(limit))
+    exchange.answer(200, msgspec.json.encode(report))
+
+
 @endpoint("GET", "/metrics")
 def _metrics(admin: Admin, exchange: servers.Exchange) -> None:
     exchange.answer(
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -12,6 +12,7 @@
 from buckthorn_core import messages
 from buckthorn_core import traffic
 from buckthorn_daemon import admin
+from buckthorn_daemon import burning
 from buckthorn_daemon import egress
 from buckthorn_daemon import gossiping
 from buckthorn_daemon import headers
@@ -49,9 +50,12 @@
         self._gossiper = gossiping.Gossiper(self.shared, self._log)
         self._distributor = relaying.Distributor(self.shared, self._reader)
         self._summariser = summarising.Summariser(self.shared)
+        self._burner = burning.Burner(self.shared)
         self._ingress = ingress.Ingress(self.shared)
-        self._egress = egress.Egress(self.shared)
-        self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
+        self._egress = egress.Egress(self.shared, self._burner.finished)
+        self._admin = admin.Admin(
+            self.shared, self._ingress, self._distributor, self._burner
+        )
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
             self.shared.identity,
@@ -77,6 +81,7 @@
         add("checkpoint", 2.0, reader.checkpoint)
         add("contacts", self._contacts_wait_s, reader.write_contacts)
         add("summary", summarising.SUMMARY_S, self._summariser.run)
+        add("burn", self._burner.wait_s, self._burner.run)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
             "continue",
@@ -162,6 +167,9 @@
             messages.Report: distributor.on_report,
             messages.Summary: lambda m, e: self._summariser.on_summary(m),
             messages.StatusQuery: lambda m, e: distributor.status(),
+            messages.BurnReport: self._burner.on_report,
+            messages.BurnQuery: lambda m, e: self._burner.on_query(m),
+            messages.BurnCopy: lambda m, e: self._burner.on_copy(),
         }
 
     def _on_announce(
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -1,5 +1,6 @@
 """Requests of callers: choice of an upstream, retries, relay of the answer."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 import threading
@@ -11,6 +12,7 @@
 from buckthorn_adapters import bodies
 from buckthorn_adapters import servers
 from buckthorn_adapters import upstreams
+from buckthorn_core import burn
 from buckthorn_core import choices
 from buckthorn_core import endpoints
 from buckthorn_core import errors
@@ -36,6 +38,7 @@
         body: The body, if it is small enough to be sent again.
         body_consumed: Whether bytes of a long body have been sent.
         tried: Daemons that it was sent to.
+        last: The daemon that it was sent to last.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.body: bytes | None = None
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
+        self.last: ids.DaemonId | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -74,8 +78,13 @@
 class Egress:
     """Sends callers' requests to daemons beside upstreams."""
 
-    def __init__(self, shared: state.State):
+    def __init__(
+        self,
+        shared: state.State,
+        on_finished: Callable[[Call | None, str, float], None],
+    ):
         self._shared = shared
+        self._on_finished = on_finished
         self._pools = upstreams.Pools()
         self._observations = choices.Observations()
         self._budgets: dict[ids.ServiceName, retries.RetryBudget] = {}
@@ -108,11 +117,18 @@
         with self._lock:
             self._running += 1
         service = "none"
+        call = None
+        cause = burn.INTERNAL
         try:
             call = self._open(exchange)
             service = call.route.service
             self._send(call)
+            cause = burn.status_cause(exchange.status)
+        except OSError:
+            cause = burn.CALLER_GONE
+            raise
         except errors.BuckthornError as exc:
+            cause = exc.code.value
             self._shared.metrics.count(
                 "buckthorn_request_errors",
                 service=service,
@@ -122,10 +138,10 @@
         finally:
             with self._lock:
                 self._running -= 1
+            seconds = time.monotonic() - started_s
+            self._on_finished(call, cause, seconds)
             self._shared.metrics.record(
-                "buckthorn_request",
-                time.monotonic() - started_s,
-                service=service,
+                "buckthorn_request", seconds, service=service
             )
             self._shared.metrics.count("buckthorn_requests", service=service)
 
@@ -155,6 +171,7 @@
         while True:
             endpoint = self._choose(call)
             call.tried.add(endpoint.daemon)
+            call.last = endpoint.daemon
             try:
                 self._try(call, endpoint)
                 return
--- a/packages/daemon/buckthorn_daemon/settings.py
+++ b/packages/daemon/buckthorn_daemon/settings.py
@@ -45,6 +45,8 @@
         checkpoint_s: Longest time between checkpoints, in seconds; less
             than half of the log's retention.
         drain_min_s: Time for others to learn of a planned stop, in seconds.
+        burn_report_s: Shortest time between reports of counts of requests
+            to the parent, in seconds.
         structured_logs: Whether logs are JSON lines.
         log_level: Lowest level that is logged.
     """
@@ -69,6 +71,7 @@
     log_poll_ms: int = 200
     checkpoint_s: float = 600.0
     drain_min_s: float = 3.0
+    burn_report_s: float = 10.0
     structured_logs: bool = False
     log_level: str = "INFO"
 
@@ -87,6 +90,7 @@
     "log_poll_ms": (20, 60_000),
     "checkpoint_s": (1, 86_400),
     "drain_min_s": (0, 600),
+    "burn_report_s": (0.1, 600),
 }
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
