--- a/packages/client/buckthorn_client/main.py
+++ b/packages/client/buckthorn_client/main.py
@@ -5,6 +5,7 @@
 from absl import app
 from absl import flags
 
+from buckthorn_client import burning  # noqa: F401
 from buckthorn_client import commands
 from buckthorn_core import errors
 from buckthorn_core import findings
--- a/packages/core/buckthorn_core/burn_history.py
+++ b/packages/core/buckthorn_core/burn_history.py
@@ -38,6 +38,8 @@
     Tier.DAYS: 29,
 }
 
+_INDEX = {tier: index for index, tier in enumerate(Tier)}
+
 
 class Sums(NamedTuple):
     """Counts of a window; see `burn.Tally`."""
@@ -191,9 +193,7 @@
         if rings is None:
             return Sums()
         last = int((now_s + self._shift_s) // tier)
-        return rings[list(Tier).index(tier)].sums(
-            last - int(seconds // tier), last
-        )
+        return rings[_INDEX[tier]].sums(last - int(seconds // tier), last)
 
     def series(
         self, service: ids.ServiceName, tier: Tier, now_s: float
@@ -204,7 +204,7 @@
         numbers = range(last - LENGTHS[tier] + 1, last + 1)
         if rings is None:
             return [Sums()] * len(numbers)
-        ring = rings[list(Tier).index(tier)]
+        ring = rings[_INDEX[tier]]
         return [ring.bucket(number) for number in numbers]
 
     def detail(self, service: ids.ServiceName, now_s: float) -> burn.Tally:
--- a/packages/core/buckthorn_core/burn_reports.py
+++ b/packages/core/buckthorn_core/burn_reports.py
@@ -88,7 +88,8 @@
         alert: The more urgent alert of both budgets, or empty.
         availability: The budget for failures.
         latency: The budget for slow answers.
-        series: Burn rate of failures by half hour, the oldest first.
+        series: Burn rate of failures by half hour, the oldest first; None
+            where there were no requests.
         causes: Causes of the last hour, the most frequent first.
         daemons: Daemons of the last hour, the most frequent first; counts
             are lower bounds.
@@ -101,7 +102,7 @@
     alert: str
     availability: Budget
     latency: Budget
-    series: list[float]
+    series: list[float | None]
     causes: list[Count]
     daemons: list[Count]
 
@@ -165,18 +166,32 @@
     return [Count(str(name), events) for name, events in ranked[:MAX_CAUSES]]
 
 
-def service_burn(
+class _Budgets(NamedTuple):
+    """What services are ranked by."""
+
+    service: ids.ServiceName
+    hour: burn_history.Sums
+    alert: str
+    availability: Budget
+    latency: Budget
+
+    def urgency(self) -> tuple[int, float, str]:
+        names = [rule.name for rule in RULES]
+        rank = names.index(self.alert) if self.alert else len(names)
+        worst = max(
+            *self.availability.rates.values(), *self.latency.rates.values()
+        )
+        return rank, -worst, self.service
+
+
+def _budgets(
     history: burn_history.History, service: ids.ServiceName, now_s: float
-) -> ServiceBurn:
-    """Returns the burn of one service."""
+) -> _Budgets:
     windows = {
         name: history.window(service, tier, seconds, now_s)
         for name, (seconds, tier) in WINDOWS.items()
     }
     period = history.window(service, burn_history.Tier.DAYS, PERIOD_S, now_s)
-    detail = history.detail(service, now_s)
-    series = history.series(service, burn_history.Tier.HALF_HOURS, now_s)
-    hour = windows["1h"]
     availability = _budget(
         {n: (w.bad, w.bad_allowed) for n, w in windows.items()},
         (period.total, period.bad, period.bad_allowed),
@@ -186,30 +201,37 @@
         (period.timed, period.slow, period.slow_allowed),
     )
     alerts = {availability.alert, latency.alert}
+    return _Budgets(
+        service,
+        windows["1h"],
+        next((r.name for r in RULES if r.name in alerts), ""),
+        availability,
+        latency,
+    )
+
+
+def _service_burn(
+    history: burn_history.History, found: _Budgets, now_s: float
+) -> ServiceBurn:
+    service = found.service
+    detail = history.detail(service, now_s)
+    series = history.series(service, burn_history.Tier.HALF_HOURS, now_s)
     return ServiceBurn(
         service=service,
-        requests=hour.total,
-        bad=hour.bad,
-        slow=hour.slow,
-        alert=next((r.name for r in RULES if r.name in alerts), ""),
-        availability=availability,
-        latency=latency,
-        series=[rate(s.bad, s.bad_allowed) for s in series],
+        requests=found.hour.total,
+        bad=found.hour.bad,
+        slow=found.hour.slow,
+        alert=found.alert,
+        availability=found.availability,
+        latency=found.latency,
+        series=[
+            rate(s.bad, s.bad_allowed) if s.total else None for s in series
+        ],
         causes=_top(detail.causes),
         daemons=_top(detail.daemons),
     )
 
 
-def _urgency(found: ServiceBurn) -> tuple[int, float, str]:
-    names = [rule.name for rule in RULES]
-    rank = names.index(found.alert) if found.alert else len(names)
-    worst = max(
-        max(budget.rates.values())
-        for budget in (found.availability, found.latency)
-    )
-    return rank, -worst, found.service
-
-
 def report(
     history: burn_history.History,
     root: ids.DaemonId,
@@ -228,13 +250,18 @@
     """
     names = history.services()
     wanted = [n for n in names if not service or n == service]
-    found = sorted(
-        (service_burn(history, name, now_s) for name in wanted), key=_urgency
+    # Causes, daemons and series are read only for the services that are kept.
+    ranked = sorted(
+        (_budgets(history, name, now_s) for name in wanted),
+        key=_Budgets.urgency,
     )
     return Report(
         root,
         PERIOD_S,
         round(history.covered_s(now_s), 1),
         len(names),
-        found[: max(0, limit)],
+        [
+            _service_burn(history, found, now_s)
+            for found in ranked[: max(0, limit)]
+        ],
     )
--- a/tests/processes/test_burn_report.py
+++ b/tests/processes/test_burn_report.py
@@ -99,6 +99,11 @@
     assert found["alert"] == "fast"
     names = [s["service"] for s in ask(http, mesh.instances[0])["services"]]
     assert "none" not in names
+    page = mesh.folder / "burn.html"
+    printed = json.loads(run_client(mesh, "burn", "--json", f"--html={page}"))
+    assert printed["services"][0]["service"] == "stock-catalogue"
+    assert "<svg" in page.read_text(encoding="utf-8")
+    assert "stock-catalogue" in run_client(mesh, "burn")
 
     old_root = ask(http, mesh.instances[-1])["root"]
     mesh.signal(old_root, signal.SIGKILL)
--- a/tools/measure_burn.py
+++ b/tools/measure_burn.py
@@ -99,6 +99,10 @@
     piece = burn.Slice(0.0, _tallies(rng, SERVICES, 40))
     add_us = _time_us(lambda: history.add([piece], end_s), 5)
     report_us = _time_us(lambda: burn_reports.report(history, _ME, end_s), 5)
+    screen_us = _time_us(
+        lambda: burn_reports.report(history, _ME, end_s, "", 50), 5
+    )
+    print(f"report of 50 of them: {screen_us / 1e3:.1f} ms")
     raw = msgspec.msgpack.encode(history.copy(end_s))
     codec = compressors.ZstdDeltaCodec()
     copy = codec.encode(raw, None)
