--- a/packages/client/buckthorn_client/burn_pages.py
+++ b/packages/client/buckthorn_client/burn_pages.py
@@ -167,8 +167,7 @@
 
 
 def _budget_cells(budget: burn_reports.Budget) -> str:
-    goal = "–" if budget.objective is None else f"{budget.objective:.3%}"
-    cells = [f"<td>{goal}</td>"]
+    cells = [f"<td>{burning.goal(budget)}</td>"]
     for window in burn_reports.WINDOWS:
         value = budget.rates[window]
         mark = ' class="over"' if value > 1 else ""
@@ -178,10 +177,6 @@
     return "".join(cells)
 
 
-def _counts(counts: list[burn_reports.Count]) -> str:
-    return html.escape(", ".join(f"{c.name} {c.events}" for c in counts))
-
-
 def _rows(found: burn_reports.ServiceBurn) -> str:
     name = html.escape(found.service)
     lines = []
@@ -211,8 +206,9 @@
     rows = "".join(
         f"<tr><td>{html.escape(found.service)}</td>"
         f"<td>{found.requests}</td><td>{found.bad}</td><td>{found.slow}</td>"
-        f'<td class="text">{_counts(found.causes)}</td>'
-        f'<td class="text">{_counts(found.daemons) or "spread"}</td></tr>'
+        f'<td class="text">{html.escape(burning.names(found.causes))}</td>'
+        f'<td class="text">'
+        f"{html.escape(burning.names(found.daemons)) or 'spread'}</td></tr>"
         for found in report.services
         if found.causes
     )
--- a/packages/client/buckthorn_client/burning.py
+++ b/packages/client/buckthorn_client/burning.py
@@ -1,51 +1,42 @@
-"""The burn report: a table, JSON, or one HTML page."""
+"""Command that shows burn rates: a table, JSON, or one HTML page."""
 
-import json
+from collections.abc import Iterator
 import pathlib
-import urllib.parse
 
 from absl import flags
-import msgspec
-import urllib3
 
 from buckthorn_client import commands
-from buckthorn_client import settings
+from buckthorn_client import outputs
 from buckthorn_core import burn_reports
-from buckthorn_core import errors
-
-TIMEOUT_S = 10.0
-_WIDTH = 24
 
 _SERVICE = flags.DEFINE_string("service", "", "Only this service.")
-_LIMIT = flags.DEFINE_integer("limit", 50, "Services to show.", 1, 1_024)
-_JSON = flags.DEFINE_bool("json", False, "Print the report as JSON.")
-_HTML = flags.DEFINE_string("html", "", "Write one HTML page to this file.")
+_TOP = flags.DEFINE_integer(
+    "top", 50, "Services to show; those that burn most come first.", 1, 1_024
+)
+_HTML = flags.DEFINE_string(
+    "html", "", "Also write one HTML page with plots to this file."
+)
 
 
-def fetch(url: str, service: str, limit: int) -> burn_reports.Report:
-    """Asks a daemon for the report.
+@commands.command("burn", "daemon", "service", "top", "html")
+def _burn() -> commands.Exit:
+    """Shows how fast services use up their error budgets, and why.
 
-    Raises:
-        errors.PeerError: It does not answer, or can't reach the root.
+    Any daemon can be asked; it asks the root of the distribution tree, which
+    holds the counts of the whole fleet. At burn rate 1 a budget lasts exactly
+    for its period.
     """
-    query = urllib.parse.urlencode({"service": service, "limit": limit})
-    try:
-        resp = urllib3.request(
-            "GET", f"{url}/v1/burn?{query}", timeout=TIMEOUT_S, retries=False
-        )
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.PeerError(
-            errors.Code.PEER_UNAVAILABLE, f"{url}: {exc}"
-        ) from exc
-    if resp.status != 200:
-        raise errors.PeerError(
-            errors.Code.PEER_UNAVAILABLE,
-            f"{url}: {resp.status} {resp.data.decode('utf-8', 'replace')}",
+    client = commands.make_daemon_client(commands.load_settings())
+    report = client.burn(_SERVICE.value, _TOP.value)
+    if _HTML.value:
+        # matplotlib takes about a second to load.
+        from buckthorn_client import burn_pages
+
+        pathlib.Path(_HTML.value).write_text(
+            burn_pages.page(report), encoding="utf-8"
         )
-    try:
-        return msgspec.json.decode(resp.data, type=burn_reports.Report)
-    except msgspec.DecodeError as exc:
-        raise errors.PeerError(errors.Code.BAD_MESSAGE, str(exc)) from exc
+    outputs.emit(commands.as_json(), report, render(report))
+    return commands.Exit.OK
 
 
 def duration(seconds: float) -> str:
@@ -59,68 +50,68 @@
 
 def heading(report: burn_reports.Report) -> str:
     """Returns what the report covers, in one line."""
-    shown = len(report.services)
     return (
-        f"{shown} of {report.services_known} services; the history covers"
-        f" {duration(report.covered_s)} of the period of"
-        f" {duration(report.period_s)}; root {report.root}"
+        f"{len(report.services)} of {report.services_known} services; the"
+        f" history covers {duration(report.covered_s)} of the period of"
+        f" {duration(report.period_s)}; counted by {report.root}"
     )
 
 
-def _cut(text: str, width: int = _WIDTH) -> str:
-    return text if len(text) <= width else f"{text[: width - 1]}~"
-
-
-def _names(counts: list[burn_reports.Count], shown: int) -> str:
-    return ", ".join(f"{c.name} {c.events}" for c in counts[:shown])
-
-
-def table(report: burn_reports.Report) -> str:
-    """Returns the report as a table of text."""
-    columns = [*burn_reports.WINDOWS]
-    lines = [
-        heading(report),
-        "burn rates: 1 uses up the budget in exactly the period",
-        f"{'service':{_WIDTH}} {'budget':12} {'goal':>8}"
-        + "".join(f"{name:>9}" for name in columns)
-        + f" {'left':>8}  alert",
-    ]
-    for found in report.services:
-        for label, budget in (
-            ("availability", found.availability),
-            ("latency", found.latency),
-        ):
-            goal = budget.objective
-            wanted = "-" if goal is None else f"{goal:.3%}"
-            lines.append(
-                f"{_cut(found.service):{_WIDTH}} {label:12} {wanted:>8}"
-                + "".join(f"{budget.rates[name]:9.4g}" for name in columns)
-                + f" {budget.remaining:8.1%}  {budget.alert}"
+def names(counts: list[burn_reports.Count]) -> str:
+    """Returns causes or daemons with their counts."""
+    return ", ".join(f"{c.name} {c.events}" for c in counts)
+
+
+def goal(budget: burn_reports.Budget) -> str:
+    """Returns the objective as a share."""
+    return "-" if budget.objective is None else f"{budget.objective:.3%}"
+
+
+def render(report: burn_reports.Report) -> str:
+    """Returns the report as tables."""
+    return "\n\n".join(_sections(report))
+
+
+def _sections(report: burn_reports.Report) -> Iterator[str]:
+    yield heading(report)
+    windows = [name.upper() for name in burn_reports.WINDOWS]
+    yield outputs.table(
+        ("SERVICE", "BUDGET", "GOAL", *windows, "LEFT", "ALERT"),
+        (
+            _budget_row(found.service, label, budget)
+            for found in report.services
+            for label, budget in (
+                ("availability", found.availability),
+                ("latency", found.latency),
             )
-        if found.causes:
-            lines.append(f"    causes   {_names(found.causes, 3)}")
-            lines.append(f"    daemons  {_names(found.daemons, 3) or 'spread'}")
-    return "\n".join(lines)
-
-
-@commands.command("burn")
-def run() -> commands.Exit:
-    """Shows how fast services use up their error budgets."""
-    cfg = settings.load(pathlib.Path(flags.FLAGS.cfg))
-    if not cfg.daemon_url:
-        raise errors.ConfigError(
-            errors.Code.BAD_SETTINGS, "daemon_url is not set"
+        ),
+    )
+    burning = [found for found in report.services if found.causes]
+    if burning:
+        yield "bad and slow requests of the last hour\n" + outputs.table(
+            ("SERVICE", "REQUESTS", "BAD", "SLOW", "CAUSES", "DAEMONS"),
+            (
+                (
+                    found.service,
+                    found.requests,
+                    found.bad,
+                    found.slow,
+                    names(found.causes),
+                    names(found.daemons) or "spread",
+                )
+                for found in burning
+            ),
         )
-    report = fetch(cfg.daemon_url, _SERVICE.value, _LIMIT.value)
-    if _HTML.value:
-        # matplotlib takes about a second to load.
-        from buckthorn_client import burn_pages
 
-        pathlib.Path(_HTML.value).write_text(
-            burn_pages.page(report), encoding="utf-8"
-        )
-    if _JSON.value:
-        print(json.dumps(msgspec.to_builtins(report), indent=2))
-    else:
-        print(table(report))
-    return commands.Exit.OK
+
+def _budget_row(
+    service: str, label: str, budget: burn_reports.Budget
+) -> tuple[object, ...]:
+    return (
+        service,
+        label,
+        goal(budget),
+        *(f"{budget.rates[name]:.4g}" for name in burn_reports.WINDOWS),
+        f"{budget.remaining:.1%}",
+        budget.alert or "-",
+    )
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -1,6 +1,7 @@
 """Local HTTP interface: announcements, status, metrics."""
 
 from collections.abc import Callable
+import time
 import urllib.parse
 
 import msgspec
@@ -11,7 +12,6 @@
 from buckthorn_core import traffic
 from buckthorn_daemon import burning
 from buckthorn_daemon import ingress
-from buckthorn_daemon import relaying
 from buckthorn_daemon import state
 
 MAX_BODY_BYTES = 65_536
@@ -37,12 +37,10 @@
         self,
         shared: state.State,
         local: ingress.Ingress,
-        distributor: relaying.Distributor,
         burner: burning.Burner,
     ):
         self.shared = shared
         self.local = local
-        self.distributor = distributor
         self.burner = burner
 
     def handle(self, exchange: servers.Exchange) -> None:
@@ -75,7 +73,6 @@
     shared = admin.shared
     with shared.lock:
         members = shared.membership.members()
-        eligible = shared.membership.eligible()
         document = {
             "daemon": shared.cfg.daemon_id,
             "region": shared.cfg.region,
@@ -84,9 +81,7 @@
             "version": shared.holder.version.number,
             "digest": shared.holder.version.digest,
             "members": len(members),
-            "roles": {
-                name: roles.holders(name, eligible) for name in roles.names()
-            },
+            "roles": {name: shared.holders(name) for name in roles.names()},
             "control_bytes": {
                 scope.value: shared.control.total(scope)
                 for scope in traffic.Scope
@@ -103,7 +98,8 @@
                 for member in members
             ],
         }
-    below = admin.distributor.status()
+    with shared.lock:
+        below = shared.acks.total(shared.ready_version(), time.monotonic())
     document["below"] = {
         "counts": {str(k): v for k, v in below.counts.items()},
         "laggards": below.laggards,
--- a/tests/client/test_burning.py
+++ b/tests/client/test_burning.py
@@ -62,5 +62,5 @@
     assert "<3>" not in page
     if services:
         assert parser.tags.count("tr") > 2 * services
-    text = burning.table(report)
+    text = burning.render(report)
     assert text.count("availability") == text.count("latency") == services
