--- a/packages/client/buckthorn_client/main.py
+++ b/packages/client/buckthorn_client/main.py
@@ -4,6 +4,7 @@
 
 from absl import flags
 
+from buckthorn_client import burning
 from buckthorn_client import checking
 from buckthorn_client import commands
 from buckthorn_client import history
@@ -14,7 +15,7 @@
 from buckthorn_core import findings
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (checking, history, moving, publications, status)
+COMMAND_MODULES = (burning, checking, history, moving, publications, status)
 
 _HELP_FLAGS = frozenset({"-h", "-help", "--help"})
 _USAGE = """\
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -1,5 +1,6 @@
 """Requests of callers: choice of an upstream, retries, relay of the answer."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 import threading
@@ -12,6 +13,7 @@
 from buckthorn_adapters import servers
 from buckthorn_adapters import upstreams
 from buckthorn_core import attempts
+from buckthorn_core import burn
 from buckthorn_core import choices
 from buckthorn_core import endpoints
 from buckthorn_core import errors
@@ -43,6 +45,7 @@
         tried: Daemons that it was sent to.
         expires_ms: When its claim expires, in ms since the epoch; None
             without a claim.
+        last: The daemon that it was sent to last.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
         self.expires_ms: int | None = None
+        self.last: ids.DaemonId | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -110,9 +114,15 @@
 class Egress:
     """Sends callers' requests to daemons beside upstreams."""
 
-    def __init__(self, shared: state.State, claimer: claiming.Claimer):
+    def __init__(
+        self,
+        shared: state.State,
+        claimer: claiming.Claimer,
+        on_finished: Callable[[Call | None, str, float], None],
+    ):
         self._shared = shared
         self._claimer = claimer
+        self._on_finished = on_finished
         self._pools = upstreams.Pools()
         self._guard = quarantining.Guard(shared)
         self._observations = choices.Observations()
@@ -146,11 +156,18 @@
         with self._lock:
             self._running += 1
         service = "none"
+        call = None
+        cause = burn.INTERNAL
         try:
             call = self._open(exchange)
             service = call.route.service
             self._claimer.run(call, lambda: self._send(call))
+            cause = burn.status_cause(exchange.status)
+        except OSError:
+            cause = burn.CALLER_GONE
+            raise
         except errors.BuckthornError as exc:
+            cause = exc.code.value
             self._shared.metrics.count(
                 "buckthorn_request_errors",
                 service=service,
@@ -160,12 +177,11 @@
         finally:
             with self._lock:
                 self._running -= 1
+            seconds = time.monotonic() - started_s
+            self._on_finished(call, cause, seconds)
             self._shared.metrics.record(
-                "buckthorn_request",
-                time.monotonic() - started_s,
-                service=service,
+                "buckthorn_request", seconds, service=service
             )
-            self._shared.metrics.count("buckthorn_requests", service=service)
 
     def _open(self, exchange: servers.Exchange) -> Call:
         if self._closed:
@@ -201,6 +217,7 @@
                 self._guard.check(call.fingerprint)
                 endpoint = self._choose(call)
                 call.tried.add(endpoint.daemon)
+                call.last = endpoint.daemon
                 self._try(call, endpoint)
                 return
             except errors.RequestError as exc:
--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -105,7 +105,9 @@
     def __init__(self) -> None:
         self.sender = make_state("sender")
         self.beside = make_state("beside")
-        self.egress = egress.Egress(self.sender, _NoClaims())
+        self.egress = egress.Egress(
+            self.sender, _NoClaims(), lambda call, cause, seconds: None
+        )
         self.ingress = ingress.Ingress(self.beside)
         self.ingress.start()
         self._front = self._serve(self.egress.handle)
