Fix daemons that look dead while they probe dead hosts for others

When a rack fails, its neighbours would suspect each other. The server now answers on 4 contexts, and at most 2 indirect probes run at once; further ones are refused, which the asker takes as no opinion.

Measured: test_indirect_probes_do_not_delay_other_answers fails with the old peers.py and passes now; tests/processes passes. The bound on probes is new, and its test was not run against the old code.

--- a/packages/adapters/buckthorn_adapters/peers.py
+++ b/packages/adapters/buckthorn_adapters/peers.py
@@ -14,6 +14,8 @@
 
 REQUEST_TIMEOUT_S = 2.0
 MAX_SOCKETS = 64
+# Two may wait for indirect probes while the others answer.
+SERVER_THREADS = 4
 # By default NNG starts several threads for each processor core.
 _NNG_TASK_THREADS = (1, 2)
 _NNG_OTHER_THREADS = ((2, 1), (3, 1), (4, 1), (5, 2), (6, 1), (7, 1))
@@ -77,7 +79,11 @@
 
 
 class PeerServer:
-    """Answers messages, one at a time. The handler must not block."""
+    """Answers up to `SERVER_THREADS` messages at a time.
+
+    The handler must be safe for several threads, and only indirect probes
+    may block it: a daemon that does not answer in time is taken for dead.
+    """
 
     def __init__(
         self,
@@ -90,9 +96,8 @@
         self._identity = identity
         self._control = control
         self._handler = handler
-        self._thread = threading.Thread(
-            target=self._run, name="peer-server", daemon=True
-        )
+        self._threads: list[threading.Thread] = []
+        self._contexts: list[pynng.Context] = []
         self._socket: pynng.Rep0 | None = None
         self.bad_messages = 0
 
@@ -111,20 +116,32 @@
             raise errors.PeerError(
                 errors.Code.PEER_UNAVAILABLE, f"{self._listen}: {exc}"
             ) from exc
-        self._thread.start()
+        for index in range(SERVER_THREADS):
+            context = self._socket.new_context()
+            self._contexts.append(context)
+            thread = threading.Thread(
+                target=self._run,
+                args=(context,),
+                name=f"peer-server-{index}",
+                daemon=True,
+            )
+            self._threads.append(thread)
+            thread.start()
 
     def close(self) -> None:
         """Stops answering."""
         if self._socket is not None:
+            for context in self._contexts:
+                context.close()
             self._socket.close()
-            self._thread.join(timeout=REQUEST_TIMEOUT_S)
+            for thread in self._threads:
+                thread.join(timeout=REQUEST_TIMEOUT_S)
 
-    def _run(self) -> None:
-        assert self._socket is not None
+    def _run(self, context: pynng.Context) -> None:
         while True:
             try:
-                data = self._socket.recv()
-                self._socket.send(self._answer(data))
+                data = context.recv()
+                context.send(self._answer(data))
             except pynng.Closed:
                 return
             except pynng.NNGException:
--- a/packages/daemon/buckthorn_daemon/gossiping.py
+++ b/packages/daemon/buckthorn_daemon/gossiping.py
@@ -1,5 +1,6 @@
 """Jobs and handlers of membership: gossip, probes, joining."""
 
+import threading
 import time
 
 from buckthorn_core import entries
@@ -20,6 +21,9 @@
 JOIN_TRIES = 3
 CONTACTS_READ = 64
 INDIRECT_TIMEOUT_S = 1.0
+# Fewer than the peer server's threads, so that a daemon that probes for
+# others still answers.
+MAX_PROBES = 2
 
 
 class Gossiper:
@@ -30,6 +34,7 @@
         self._log = log
         self._next_sync_s = 0.0
         self._join_wait_s = JOIN_MIN_S
+        self._probe_slots = threading.BoundedSemaphore(MAX_PROBES)
 
     def probe(self) -> None:
         """Exchanges gossip with the next member; this is also its probe."""
@@ -82,8 +87,19 @@
     def on_probe_request(
         self, message: messages.ProbeRequest
     ) -> messages.ProbeReply:
-        """Probes a third daemon for another one."""
-        return messages.ProbeReply(self._is_alive(message.address))
+        """Probes a third daemon for another one.
+
+        Raises:
+            errors.PeerError: Too many probes run already.
+        """
+        if not self._probe_slots.acquire(blocking=False):
+            raise errors.PeerError(
+                errors.Code.PEER_UNAVAILABLE, "too many probes run"
+            )
+        try:
+            return messages.ProbeReply(self._is_alive(message.address))
+        finally:
+            self._probe_slots.release()
 
     def join(self) -> None:
         """Merges tables with members of the region that are not known yet.
