Fix partitions, stale contacts, frozen and restarted daemons

Faults, each reproduced first in tests/matrix/test_partitions.py: - When two halves of a region met again, each merged the other's deaths, so that daemons had only themselves left as a live member. A death that a peer declares is now a suspicion at first, a suspected member is told so in its probe, and one probe in 8 goes to a member taken for dead. While most members are suspected they keep their roles. - When all known contacts of a region had died on both sides, regions never found each other: the relay read the log across the paid link for good, and newer contacts in the log were ignored. contactbooks.ContactBook goes through the summary's addresses and then the log's; the first relay reads the contacts again, every 10 s, while a region does not answer. - Contacts were written only on change and expired from the log. - A restarting daemon took its floor from a single stale member that spoke to it first and served version 1 where 3 was in force (G1). Until it has had a member's whole table, it needs three answers; suspected members count as reachable. - A daemon that woke declared members dead for the time it was frozen.

The fixture now waits until all daemons derive the same roles; before, some tests struck a daemon that only held itself to be the reader.

--- a/packages/core/buckthorn_core/gossip.py
+++ b/packages/core/buckthorn_core/gossip.py
@@ -17,6 +17,7 @@
 RESEND_FACTOR = 3
 
 Listener = Callable[[entries.Entry], None]
+Filter = Callable[[entries.Entry], entries.Entry | None]
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -39,11 +40,17 @@
     return isinstance(entry, entries.Member) and entry.state in entries.GONE
 
 
+def _keep(entry: entries.Entry) -> entries.Entry:
+    return entry
+
+
 class GossipTable:
     """Entries by key, and the changes still to be passed on.
 
     Attributes:
         entries: All entries, those of members that are gone included.
+        on_received: Called with each entry from a peer; returns what to
+            store of it, or None.
     """
 
     def __init__(self) -> None:
@@ -51,6 +58,7 @@
         self._rumours: dict[str, int] = {}
         self._digests = [0] * BUCKETS
         self._listeners: list[Listener] = []
+        self.on_received: Filter = _keep
 
     def listen(self, listener: Listener) -> None:
         """Calls the listener with each entry that changes."""
@@ -72,7 +80,8 @@
 
     def merge(self, received: Iterable[entries.Entry]) -> int:
         """Stores received entries and returns how many were news."""
-        return sum(self.put(entry) for entry in received)
+        kept = (self.on_received(entry) for entry in received)
+        return sum(self.put(entry) for entry in kept if entry is not None)
 
     def remove(self, key: str) -> None:
         """Forgets an entry."""
--- a/packages/core/buckthorn_core/membership.py
+++ b/packages/core/buckthorn_core/membership.py
@@ -17,6 +17,11 @@
 INDIRECT_PROBES = 3
 SUSPECT_TIMEOUT_S = 3.0
 TOMBSTONE_S = 60.0
+# One probe in so many goes to a member that is taken for dead, so that a
+# partition that heals is noticed from either side.
+DEAD_PROBE_SHARE = 8
+# A longer pause between ticks means that this daemon was frozen.
+MAX_TICK_S = 2.0
 
 _ELIGIBLE = (
     entries.MemberState.UP,
@@ -39,6 +44,8 @@
         self._gone: dict[ids.DaemonId, float] = {}
         self._live: list[ids.DaemonId] | None = None
         self._changed: list[ids.DaemonId] = []
+        self._ticked_s: float | None = None
+        table.on_received = self._soften
         table.listen(self._on_entry)
         table.put(me)
 
@@ -65,7 +72,9 @@
         """Returns the members that may hold a role, sorted.
 
         Members that are up come first; only without any of them may those
-        that start, and then those that leave, hold roles.
+        that start, and then those that leave, hold roles. When most are
+        suspected, a cut or a partition that heals is likelier than so many
+        deaths, so they keep their roles: else each member would take all.
         """
         if self._live is None:
             by_state: dict[entries.MemberState, list[ids.DaemonId]] = {}
@@ -74,7 +83,11 @@
             self._live = []
             for state in _ELIGIBLE:
                 if by_state.get(state):
-                    self._live = sorted(by_state[state])
+                    live = by_state[state]
+                    suspects = by_state.get(entries.MemberState.SUSPECT, [])
+                    if len(suspects) > len(live):
+                        live = [*live, *suspects]
+                    self._live = sorted(live)
                     break
         return self._live
 
@@ -87,6 +100,10 @@
 
     def next_probe(self) -> entries.Member | None:
         """Returns the member to probe next; all get their turn."""
+        if self._rng.randrange(DEAD_PROBE_SHARE) == 0:
+            dead = self._dead_members()
+            if dead:
+                return self._rng.choice(dead)
         while True:
             if not self._order:
                 self._order = [
@@ -120,7 +137,15 @@
         )
 
     def tick(self, now_s: float) -> None:
-        """Turns old suspicions into deaths and drops old tombstones."""
+        """Turns old suspicions into deaths and drops old tombstones.
+
+        Time in which this daemon was frozen gave nobody a chance to refute.
+        """
+        ticked_s = now_s if self._ticked_s is None else self._ticked_s
+        self._ticked_s = now_s
+        if now_s - ticked_s > MAX_TICK_S:
+            for daemon in self._suspected:
+                self._suspected[daemon] = now_s
         for daemon in self._changed:
             self._start_timers(daemon, now_s)
         self._changed.clear()
@@ -140,6 +165,33 @@
             return []
         return [member]
 
+    def _dead_members(self) -> list[entries.Member]:
+        found = [self.member(daemon) for daemon in self._gone]
+        return [
+            member
+            for member in found
+            if member is not None
+            and member.state is entries.MemberState.DEAD
+            and not self._is_me(member)
+        ]
+
+    def _soften(self, entry: entries.Entry) -> entries.Entry | None:
+        """Takes a death that a peer declares as a suspicion at first.
+
+        The peer may have been on the other side of a partition. If all were
+        taken for dead at once, nobody would be left to tell them.
+        """
+        if (
+            not isinstance(entry, entries.Member)
+            or entry.state is not entries.MemberState.DEAD
+            or self._is_me(entry)
+        ):
+            return entry
+        known = self.member(entry.id)
+        if known is None or known.state in entries.GONE:
+            return entry
+        return msgspec.structs.replace(entry, state=entries.MemberState.SUSPECT)
+
     def _is_me(self, member: entries.Member) -> bool:
         return member.id == self._me.id
 
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -83,6 +83,7 @@
             ingress.CONTINUE_PERIOD_S * 0.8,
             self._ingress.send_continues,
         )
+        add("regions", gossiping.REGIONS_S, self._gossiper.refresh_regions)
         add("catch_up", 0.5, distributor.catch_up)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
--- a/packages/daemon/buckthorn_daemon/gossiping.py
+++ b/packages/daemon/buckthorn_daemon/gossiping.py
@@ -21,6 +21,7 @@
 JOIN_TRIES = 3
 CONTACTS_READ = 64
 INDIRECT_TIMEOUT_S = 1.0
+REGIONS_S = 10.0
 # Fewer than the peer server's threads, so that a daemon that probes for
 # others still answers.
 MAX_PROBES = 2
@@ -45,7 +46,11 @@
             if target is None:
                 return
             message = messages.Gossip(
-                shared.table.changes(), shared.table.digest()
+                [
+                    *shared.membership.reply_entries(target.id),
+                    *shared.table.changes(),
+                ],
+                shared.table.digest(),
             )
         try:
             envelope = shared.client.request(
@@ -54,7 +59,8 @@
                 timeout_s=membership.PROBE_TIMEOUT_S,
             )
         except errors.PeerError:
-            self._probe_indirectly(target)
+            if target.state not in entries.GONE:
+                self._probe_indirectly(target)
             return
         shared.note_peer(envelope)
         if isinstance(envelope.payload, messages.GossipReply):
@@ -111,11 +117,17 @@
         with shared.lock:
             known = {m.peer_address for m in shared.membership.members()}
             alone = len(known) < 2
-            searching = alone or shared.holds("contacts_writer")
+            joined = shared.joined
+            writes = shared.holds("contacts_writer")
+            searching = alone or writes or not joined
         if not searching:
             self._join_wait_s = REJOIN_S
             return
         unknown = [a for a in self._contact_addresses() if a not in known]
+        if not joined:
+            # Whoever spoke first may know little; its table shows the rest.
+            own = shared.cfg.peer_address
+            unknown.extend(sorted(a for a in known if a != own))
         for address in unknown[:JOIN_TRIES]:
             if self._merge_tables(address):
                 self._join_wait_s = JOIN_MIN_S
@@ -127,6 +139,14 @@
         """Returns the pause before the next attempt, with full jitter."""
         return JOIN_MIN_S + self._shared.rng.random() * self._join_wait_s
 
+    def refresh_regions(self) -> None:
+        """Looks for contacts in the log when regions do not answer."""
+        shared = self._shared
+        with shared.lock:
+            wanted = shared.is_first_relay() and shared.contacts.needs_log()
+        if wanted:
+            self._contact_addresses()
+
     def _merge_tables(self, address: ids.Address) -> bool:
         shared = self._shared
         with shared.lock:
@@ -140,6 +160,7 @@
             return False
         with shared.lock:
             shared.table.merge(envelope.payload.items)
+            shared.joined = True
         return True
 
     def _merge_reply(
@@ -223,6 +244,9 @@
         )
         with self._shared.lock:
             self._shared.table.put(entry)
+            self._shared.contacts.add_from_log(
+                contacts.region, contacts.remote_addresses, contacts.time_ms
+            )
 
 
 def read_contacts(log: ports.LogService) -> list[records.Contacts]:
--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -32,6 +32,7 @@
         self._at_end = False
         self._ahead = False
         self._contacts: records.Contacts | None = None
+        self._contacts_s = state.NEVER_S
         self.upstream_region_seen_s = time.monotonic()
 
     def is_reader(self) -> bool:
@@ -168,7 +169,9 @@
                 shared.membership.update_me(gapped=acceptor.gapped)
 
     def write_contacts(self) -> None:
-        """Writes where new daemons can join, when that has changed.
+        """Writes where new daemons can join.
+
+        It does so when that has changed, and before the record expires.
 
         Raises:
             errors.LogError: The log did not take it.
@@ -179,12 +182,17 @@
                 return
             contacts = self._make_contacts()
         old = self._contacts
-        if old is not None and set(old.local_addresses) == set(
-            contacts.local_addresses
+        age_s = time.monotonic() - self._contacts_s
+        fresh = age_s < shared.cfg.checkpoint_s
+        if (
+            fresh
+            and old is not None
+            and set(old.local_addresses) == set(contacts.local_addresses)
         ):
             return
         self._log.append(records.CONTACTS_STREAM, records.encode(contacts))
         self._contacts = contacts
+        self._contacts_s = time.monotonic()
 
     def _make_contacts(self) -> records.Contacts:
         shared = self._shared
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -3,7 +3,6 @@
 import time
 
 from buckthorn_core import acks
-from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import meshes
@@ -16,7 +15,6 @@
 REPORT_S = 2.0
 FAST_REPORT_S = 0.2
 BUSY_RETRY_MS = 100
-MAX_CONTACT_TRIES = 3
 
 
 class Distributor:
@@ -25,7 +23,6 @@
     def __init__(self, shared: state.State, reader: reading.LogReader):
         self._shared = shared
         self._reader = reader
-        self._region_try = 0
         self._remote_children: dict[ids.DaemonId, ids.Address] = {}
 
     # Upwards: this daemon and its parent.
@@ -55,11 +52,14 @@
         try:
             envelope = shared.client.request(address, message, scope)
         except errors.PeerError:
-            # Another daemon of the log's region may be reachable.
-            self._region_try += 1
+            if scope is traffic.Scope.REGION:
+                with shared.lock:
+                    shared.contacts.failed(shared.cfg.log_region)
             raise
         if scope is traffic.Scope.REGION:
             self._reader.upstream_region_seen_s = time.monotonic()
+            with shared.lock:
+                shared.contacts.answered(shared.cfg.log_region)
         shared.note_peer(envelope)
         reply = envelope.payload
         if not isinstance(reply, messages.ReportReply):
@@ -143,15 +143,8 @@
                 return member.peer_address, traffic.Scope.LOCAL
             if shared.cfg.region == shared.cfg.log_region:
                 return None
-            contacts = shared.table.entries.get(f"r/{shared.cfg.log_region}")
-        if not isinstance(contacts, entries.RegionContacts):
-            return None
-        if not contacts.addresses:
-            return None
-        index = self._region_try % min(
-            MAX_CONTACT_TRIES, len(contacts.addresses)
-        )
-        return contacts.addresses[index], traffic.Scope.REGION
+            address = shared.region_address(shared.cfg.log_region)
+        return None if address is None else (address, traffic.Scope.REGION)
 
     # Downwards: this daemon and its children.
 
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -11,6 +11,7 @@
 from buckthorn_core import acceptance
 from buckthorn_core import acks
 from buckthorn_core import catchups
+from buckthorn_core import contactbooks
 from buckthorn_core import endpoints
 from buckthorn_core import entries
 from buckthorn_core import floors
@@ -26,6 +27,9 @@
 from buckthorn_daemon import settings
 
 NEVER_S = float("-inf")
+_KNOWS_VERSION = frozenset(
+    {entries.MemberState.UP, entries.MemberState.SUSPECT}
+)
 
 
 class State:
@@ -36,6 +40,8 @@
         lock: Guards the core objects below.
         confirmed_s: When a log reader last found the version in force to be
             the latest; local monotonic time.
+        joined: Whether this daemon has had a member's whole table.
+        contacts: Addresses of other regions.
         on_version: Called after another version came in force.
     """
 
@@ -60,6 +66,8 @@
             cfg.publish_key.encode(), cfg.peer_key.encode()
         )
         self.catch_up = catchups.CatchUp()
+        self.contacts = contactbooks.ContactBook()
+        self.joined = False
         self.confirmed_s = NEVER_S
         self.on_version: list[Callable[[], None]] = []
         self.identity = peers.Identity(
@@ -113,6 +121,14 @@
         """Returns whether this daemon is the first relay of its region."""
         return self.tree().relays[:1] == [self.cfg.daemon_id]
 
+    def region_address(self, region: ids.RegionName) -> ids.Address | None:
+        """Returns a peer address in another region, or None."""
+        entry = self.table.entries.get(f"r/{region}")
+        announced: list[ids.Address] = []
+        if isinstance(entry, entries.RegionContacts):
+            announced = entry.addresses
+        return self.contacts.choose(region, announced)
+
     def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Puts a version in force.
 
@@ -163,8 +179,11 @@
                 for member in self.membership.members()
                 if member.site == self.cfg.site
                 and member.id != self.cfg.daemon_id
-                and member.state is entries.MemberState.UP
+                and member.state in _KNOWS_VERSION
             )
+            if not self.joined:
+                # Members that are not known yet may be reachable.
+                reachable = max(reachable, floors.QUORUM)
             floor = self.floors.floor(reachable)
             if floor is None:
                 return
--- a/packages/daemon/buckthorn_daemon/summarising.py
+++ b/packages/daemon/buckthorn_daemon/summarising.py
@@ -109,18 +109,23 @@
         quiet_s = time.monotonic() - self._sent_s.get(region, state.NEVER_S)
         if not changed and quiet_s < KEEPALIVE_S:
             return
-        if not contact.addresses:
+        with shared.lock:
+            address = shared.region_address(region)
+        if address is None:
             return
         digest = _digest(own.values())
         message = messages.Summary(shared.cfg.region, changed, digest)
-        address = shared.rng.choice(contact.addresses)
         try:
             envelope = shared.client.request(
                 address, message, traffic.Scope.REGION
             )
         except errors.PeerError:
             shared.metrics.count("buckthorn_summary_failures")
+            with shared.lock:
+                shared.contacts.failed(region)
             return
+        with shared.lock:
+            shared.contacts.answered(region)
         reply = envelope.payload
         if isinstance(reply, messages.SummaryReply) and reply.digest == digest:
             self._sent[region] = own
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -61,7 +61,7 @@
     @property
     def live(self) -> set[str]:
         """Ids of the members that this daemon takes for live."""
-        return set(self.shared.membership.eligible())
+        return {m.id for m in self.shared.membership.members()}
 
     def step(self, now_s: float) -> None:
         for job in self.daemon._scheduler._jobs:
@@ -87,6 +87,8 @@
         self._publications = 0
         for module in _TIMED:
             monkeypatch.setattr(module, "time", self.clock)
+        # Jobs spread their runs with the module's shared generator.
+        monkeypatch.setattr(jobs, "random", self.rng)
 
     def start(self, name: str, site: str = "n1", **changes) -> Node:
         """Starts a daemon, or starts it anew with nothing."""
@@ -195,15 +197,23 @@
     def all_known(self) -> bool:
         """Returns whether all daemons know all members of their regions."""
         return all(
-            node.live
-            == {
-                name
-                for name, other in self.nodes.items()
-                if other.cfg.region == node.cfg.region
-            }
+            node.live == self._region(node) for node in self.nodes.values()
+        )
+
+    def all_agree(self) -> bool:
+        """Returns whether all daemons derive the same roles."""
+        return all(
+            set(node.shared.membership.eligible()) == self._region(node)
             for node in self.nodes.values()
         )
 
+    def _region(self, node: Node) -> set[str]:
+        return {
+            name
+            for name, other in self.nodes.items()
+            if other.cfg.region == node.cfg.region
+        }
+
     def summary(self) -> str:
         return " ".join(
             f"{name}:v{node.version}"
--- a/tests/matrix/conftest.py
+++ b/tests/matrix/conftest.py
@@ -27,7 +27,7 @@
             mesh.start(f"f{number}", "f1", seeds=["127.0.0.1:30100"])
         assert mesh.run(120, mesh.all_known), mesh.summary()
         mesh.publish()
-        ready = mesh.run(30, lambda: mesh.all_at(1) and mesh.all_known())
+        ready = mesh.run(30, lambda: mesh.all_at(1) and mesh.all_agree())
         assert ready, mesh.summary()
         return mesh
 
--- /dev/null
+++ b/tests/matrix/test_partitions.py
@@ -0,0 +1,166 @@
+"""Partitions, stale contacts, frozen and restarted daemons."""
+
+import pytest
+from tests.fakes import meshes as fake_meshes
+
+from buckthorn_core import entries
+from buckthorn_core import records
+
+CONTACTS = records.CONTACTS_STREAM
+
+
+def cut_regions(mesh) -> None:
+    for one in mesh.nodes:
+        for other in mesh.nodes:
+            if one[0] != other[0]:
+                mesh.cut(one, other)
+
+
+def replace(mesh, old: str, new: str) -> None:
+    """Replaces a host: another daemon at another address."""
+    cfg = mesh.nodes[old].cfg
+    mesh.stop(old)
+    mesh.start(new, cfg.site, seeds=cfg.seeds)
+
+
+@pytest.mark.cell("cut_both_ways", "relay")
+@pytest.mark.parametrize("seed", range(3))
+def test_regions_find_each_other_when_all_known_contacts_are_dead(
+    make_mesh, seed
+):
+    """Guards against a relay that reads the log across the paid link forever.
+
+    Without contacts the regions also never learn each other's services.
+    """
+    mesh = make_mesh(seed)
+    mesh.run(40)
+    cut_regions(mesh)
+    number = 10
+    for _ in range(4):
+        # The relays that the other region knows go, one after the other.
+        for region, kind in (("near", "n"), ("far", "f")):
+            number += 1
+            new = f"{kind}{number if kind == 'n' else 100 + number}"
+            replace(mesh, mesh.roots(region)[0], new)
+            cut_regions(mesh)
+        mesh.run(35)
+    mesh.channel.cut.clear()
+    far = [n for n in mesh.nodes.values() if n.cfg.region == "far"]
+
+    def linked() -> bool:
+        root = mesh.nodes[mesh.roots("far")[0]]
+        live = {n.cfg.remote_peer_address for n in mesh.nodes.values()}
+        entry = root.shared.table.entries["r/near"]
+        return set(entry.addresses) <= live and not root.reader.is_reader()
+
+    assert mesh.run(30, linked), mesh.summary()
+    mesh.publish()
+    assert mesh.run(5, lambda: all(n.version == 2 for n in far))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_contacts_are_written_again_before_they_expire(make_mesh, seed):
+    """Guards against a log without contacts, where nobody can join."""
+    mesh = make_mesh(seed)
+    mesh.run(fake_meshes.CHECKPOINT_S * 2)
+    end = mesh.log.end(CONTACTS)
+    mesh.run(fake_meshes.CHECKPOINT_S * 2)
+    assert mesh.log.end(CONTACTS) > end
+
+
+@pytest.mark.cell("herd", "announce")
+@pytest.mark.cell("freeze", "apply")
+@pytest.mark.parametrize("seed", range(4))
+def test_starting_daemon_does_not_take_its_floor_from_one_stale_member(
+    make_mesh, seed
+):
+    """Guards against a restart that moves back to an old version (G1).
+
+    A daemon that was frozen for long wakes and is the first to speak to a
+    daemon that restarts, before that one has heard of the others.
+    """
+    mesh = make_mesh(seed)
+    mesh.freeze("n2")
+    for number in (2, 3):
+        mesh.publish()
+        assert mesh.run(
+            10,
+            lambda want=number: all(
+                n.version == want for k, n in mesh.nodes.items() if k != "n2"
+            ),
+        )
+    mesh.run(70)
+    cfg = mesh.nodes["n0"].cfg
+    mesh.stop("n0")
+    mesh.log.down = True
+    node = mesh.start("n0", cfg.site, seeds=[])
+    stale = mesh.nodes["n2"]
+    # Nobody but the stale member reaches the new daemon for now.
+    for other in mesh.nodes:
+        if other not in ("n0", "n2"):
+            mesh.cut("n0", other)
+            mesh.cut("n2", other)
+    mesh.wake("n2")
+    mesh.run(3)
+    assert stale.version == 1
+    served = node.version if node.shared.holder.ready else 0
+    assert served in (0, 3), served
+    mesh.channel.cut.clear()
+    assert mesh.run(30, lambda: mesh.all_at(3)), mesh.summary()
+
+
+@pytest.mark.cell("freeze", "announce")
+@pytest.mark.parametrize("seed", range(4))
+def test_woken_daemon_does_not_declare_live_members_dead(make_mesh, seed):
+    """Guards against a suspicion that counts the time spent frozen."""
+    mesh = make_mesh(seed)
+    node = mesh.nodes["n0"]
+    mesh.cut("n0", "n1")
+    for other in ("n2", "n3", "n4", "n5"):
+        mesh.cut(other, "n1")
+    suspected = entries.MemberState.SUSPECT
+    assert mesh.run(
+        20, lambda: node.shared.membership.member("n1").state is suspected
+    )
+    # The suspicion's time starts with the next probe.
+    mesh.run(1)
+    assert node.shared.membership.member("n1").state is suspected
+    mesh.freeze("n0")
+    mesh.channel.cut.clear()
+    mesh.run(20)
+    mesh.wake("n0")
+    dead = []
+
+    def look(entry) -> None:
+        if entry.key == "m/n1" and entry.state in entries.GONE:
+            dead.append(entry)
+
+    node.shared.table.listen(look)
+    mesh.run(3)
+    assert dead == []
+
+
+@pytest.mark.cell("cut_both_ways", "announce")
+@pytest.mark.parametrize("span_s", [8, 30, 90])
+@pytest.mark.parametrize("with_log", [True, False])
+def test_halves_of_a_region_merge_after_a_partition(
+    make_mesh, span_s, with_log
+):
+    """Guards against halves that stay apart, or take all for dead at once."""
+    mesh = make_mesh(2)
+    for one in ("n0", "n1", "n2"):
+        for other in ("n3", "n4", "n5"):
+            mesh.cut(one, other)
+    mesh.log.down = not with_log
+    mesh.run(span_s)
+    mesh.channel.cut.clear()
+    least = []
+
+    def merged() -> bool:
+        near = [n for n in mesh.nodes.values() if n.cfg.region == "near"]
+        least.append(min(len(n.live) for n in near))
+        return mesh.all_known()
+
+    assert mesh.run(45, merged), mesh.summary()
+    # Each daemon keeps sight of its own half while the halves merge.
+    assert min(least) >= 3, min(least)
