--- a/packages/core/buckthorn_core/admission.py
+++ b/packages/core/buckthorn_core/admission.py
@@ -59,7 +59,11 @@
         return not self._running and not self._waiting
 
     def set_limits(self, limits: Limits) -> None:
-        """Changes the limits; requests in slots keep running."""
+        """Changes the limits; requests in slots keep running.
+
+        The slots may be none or fewer for a while, when other work takes
+        them.
+        """
         self._limits = limits
 
     def enter(self, now_s: float, deadline_s: float) -> Ticket:
@@ -112,6 +116,10 @@
         if ran_s is not None:
             change = ran_s - self._service_time_s
             self._service_time_s += SMOOTHING * change
+        return self.start_waiting()
+
+    def start_waiting(self) -> list[Ticket]:
+        """Gives free slots to those that wait and returns their tickets."""
         started = []
         while self._waiting and len(self._running) < self._limits.slots:
             _, first = self._waiting.popitem(last=False)
@@ -123,4 +131,5 @@
         ahead = len(self._running) + len(self._waiting) - self._limits.slots
         if ahead < 0:
             return 0.0
-        return (ahead + 1) * self._service_time_s / self._limits.slots
+        slots = max(1, self._limits.slots)
+        return (ahead + 1) * self._service_time_s / slots
--- a/packages/core/buckthorn_core/quarantines.py
+++ b/packages/core/buckthorn_core/quarantines.py
@@ -140,6 +140,10 @@
                 (end_ms - now_ms) / 1000,
             )
 
+    def refused(self, now_ms: int) -> list[ids.Fingerprint]:
+        """Returns the requests in quarantine."""
+        return sorted(n for n in self._held if self.is_refused(n, now_ms))
+
     def to_other_regions(self) -> list[entries.Suspicion]:
         """Returns suspicions that refuse requests, or have done so."""
         return [self._held[name] for name in sorted(self._spread)]
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -9,6 +9,7 @@
 from buckthorn_core import roles
 from buckthorn_core import traffic
 from buckthorn_daemon import ingress
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import relaying
 from buckthorn_daemon import state
 
@@ -98,6 +99,7 @@
                 }
                 for member in members
             ],
+            "quarantined": shared.quarantines.refused(quarantining.now_ms()),
         }
     below = admin.distributor.status()
     document["below"] = {
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -360,9 +360,11 @@
     def _raise_unknown(self, resp: Any) -> None:
         """Raises what the other daemon says of a request that may have run.
 
-        Only a failed connection to the upstream lets an idempotent request
-        try another one; other answers are passed on as they are.
+        Only a failed connection to the upstream, or a body that the other
+        daemon did not receive whole, lets an idempotent request try another
+        one; other answers are passed on as they are.
         """
-        if servers.OUTCOME_HEADER in resp.headers and resp.status == 502:
+        failed = resp.status in (400, 502)
+        if servers.OUTCOME_HEADER in resp.headers and failed:
             text = resp.read(decode_content=False).decode("utf-8", "replace")
             raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -14,6 +14,7 @@
 from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import inherited
 from buckthorn_daemon import crashes
 from buckthorn_daemon import headers
 from buckthorn_daemon import quarantining
@@ -37,6 +38,8 @@
         state: Its state.
         slots: Requests that it runs at once.
         connections: Connections that it takes.
+        running: Requests that it runs. Without it a restarted daemon cannot
+            know of slots that work of its predecessor takes.
     """
 
     service: ids.ServiceName
@@ -44,6 +47,7 @@
     state: entries.UpstreamState
     slots: int
     connections: int
+    running: int = 0
 
 
 class Ingress:
@@ -54,6 +58,7 @@
         self._pools = upstreams.Pools()
         self._lock = threading.Lock()
         self._admission = admission.Admission(admission.Limits(1, 1))
+        self._inherited = inherited.InheritedWork()
         self._waiting: dict[int, threading.Event] = {}
         self._upstream: Announcement | None = None
         self._announced_s = state.NEVER_S
@@ -91,10 +96,13 @@
         """Takes an announcement of the upstream."""
         with self._lock:
             self._announced_s = time.monotonic()
+            own = self._admission.running
+            self._inherited.note_announced(upstream.running, own)
+            upstream = msgspec.structs.replace(upstream, running=0)
+            self._set_limits(upstream)
             if upstream == self._upstream:
                 return
             self._upstream = upstream
-            self._admission.set_limits(self._limits(upstream))
             if upstream.state is entries.UpstreamState.DRAINING:
                 self._refuse_waiting()
         self._publish(upstream)
@@ -184,6 +192,12 @@
         headers.check_expiry(exchange, time.time())
         return upstream
 
+    def _set_limits(self, upstream: Announcement) -> None:
+        limits = self._limits(upstream)
+        slots = limits.slots - self._inherited.most
+        self._admission.set_limits(admission.Limits(slots, limits.connections))
+        self._start(self._admission.start_waiting())
+
     def _limits(self, upstream: Announcement) -> admission.Limits:
         slots, connections = upstream.slots, upstream.connections
         current = self._shared.holder.current
@@ -220,10 +234,14 @@
         ran_s = None if started_s is None else time.monotonic() - started_s
         with self._lock:
             self._waiting.pop(ticket.number, None)
-            for started in self._admission.leave(ticket, ran_s):
-                event = self._waiting.pop(started.number, None)
-                if event is not None:
-                    event.set()
+            self._start(self._admission.leave(ticket, ran_s))
+            self._inherited.note_own(self._admission.running)
+
+    def _start(self, started: list[admission.Ticket]) -> None:
+        for ticket in started:
+            event = self._waiting.pop(ticket.number, None)
+            if event is not None:
+                event.set()
 
     def _relay(
         self,
--- a/packages/standins/buckthorn_standins/upstream.py
+++ b/packages/standins/buckthorn_standins/upstream.py
@@ -129,6 +129,7 @@
             "state": "draining" if self.draining else "up",
             "slots": self.faults.claimed_slots or _SLOTS.value,
             "connections": _CONNECTIONS.value,
+            "running": self._running,
         }
 
 
