--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -92,6 +92,7 @@
 
     Attributes:
         port: Where callers connect.
+        back_port: Where the egress connects to the ingress.
     """
 
     def __init__(self) -> None:
@@ -103,6 +104,7 @@
         self._front = self._serve(self.egress.handle)
         self._back = self._serve(self.ingress.handle)
         self.port = self._front.port
+        self.back_port = self._back.port
 
     def _serve(self, handler: servers.Handler) -> servers.HttpServer:
         server = servers.HttpServer("127.0.0.1:0", 8, handler)
--- a/tests/daemon/test_hops.py
+++ b/tests/daemon/test_hops.py
@@ -7,6 +7,7 @@
 import pairs
 import pytest
 
+from buckthorn_adapters import interims
 from buckthorn_core import entries
 from buckthorn_core import progress
 from buckthorn_daemon import ingress
@@ -278,6 +279,64 @@
     assert other.startswith(b"HTTP/1.1 200")
 
 
+def test_body_is_not_asked_for_while_the_request_is_queued(pair):
+    """Guards against a body spent on a request that gets no slot."""
+    release = threading.Event()
+    upstream = pairs.SocketServer(
+        lambda conn, head: release.wait(10) and conn.sendall(pairs.OK)
+    )
+    pair.connect(upstream, slots=1)
+    first = threading.Thread(target=pair.call, args=(GET,))
+    first.start()
+    wait_until(lambda: upstream.received)
+    with socket.create_connection(("127.0.0.1", pair.back_port)) as sock:
+        head = CHUNKED[:-2] + b"Buckthorn-Hop: ingress\r\n"
+        sock.sendall(head + b"Buckthorn-Await: admission\r\n\r\n")
+        sock.settimeout(5)
+        assert interims.read(sock, 5).startswith(b"HTTP/1.1 100 Continue")
+        release.set()
+        while not interims.is_admission(found := interims.read(sock, 5)):
+            assert found.startswith(b"HTTP/1.1 100 Continue")
+        sock.sendall(b"0\r\n\r\n")
+    first.join(5)
+
+
+def test_upstream_is_let_go_when_the_other_daemon_is_gone(pair):
+    """Guards against slots taken by work that nobody waits for."""
+    closed = threading.Event()
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        if conn.recv(1) == b"":
+            closed.set()
+
+    upstream = pairs.SocketServer(script)
+    pair.connect(upstream)
+    with socket.create_connection(("127.0.0.1", pair.back_port)) as sock:
+        sock.sendall(GET[:-2] + b"Buckthorn-Hop: ingress\r\n\r\n")
+        wait_until(lambda: upstream.received)
+    assert closed.wait(5)
+    wait_until(lambda: pair.ingress.idle)
+
+
+def test_receiver_that_does_not_read_holds_up_no_sign_of_life(pair):
+    """Guards against requests that look silent because of another one."""
+
+    def script(conn: socket.socket, head: bytes) -> None:
+        if b"/1 " in head:
+            conn.sendall(HEAD + b"Content-Length: 99999999\r\n\r\n")
+            while True:
+                conn.sendall(LARGE)
+        sends(PAUSE_S, PAUSE_S, pairs.OK)(conn, head)
+
+    upstream = pairs.SocketServer(script)
+    pair.connect(upstream)
+    with socket.create_connection(("127.0.0.1", pair.back_port)) as stuck:
+        stuck.sendall(GET[:-2] + b"Buckthorn-Hop: ingress\r\n\r\n")
+        wait_until(lambda: upstream.received)
+        answer = pair.call(GET.replace(b"s/1", b"s/2"))
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+
+
 def wait_until(done, timeout_s: float = 5.0) -> None:
     end_s = time.monotonic() + timeout_s
     while not done():
