Show the own region when the root of the tree is cut off

A daemon of a region that is cut off from the log's region showed only itself; it now asks its region's first relay after the root's addresses. Errors of the log service say what to do next, and a publication whose fate is unknown has a code of its own.

--- a/packages/client/buckthorn_client/main.py
+++ b/packages/client/buckthorn_client/main.py
@@ -16,6 +16,13 @@
 # Importing these modules registers their commands.
 COMMAND_MODULES = (checking, history, moving, publications, status)
 
+_HINTS = {
+    errors.Code.LOG_UNAVAILABLE: (
+        "\nThe log service did not answer, and nothing was published. Check"
+        " log_url in the settings; in an outage try again later"
+        " (docs/operators/log-outage.md)."
+    ),
+}
 _HELP_FLAGS = frozenset({"-h", "-help", "--help"})
 _USAGE = """\
 usage: buckthornctl COMMAND [--flag=value ...]
@@ -73,7 +80,8 @@
         print(exc, file=sys.stderr)
         return commands.Exit.FINDINGS
     except errors.BuckthornError as exc:
-        print(f"buckthornctl: {exc}", file=sys.stderr)
+        hint = _HINTS.get(exc.code, "")
+        print(f"buckthornctl: {exc}{hint}", file=sys.stderr)
         return commands.Exit.UNAVAILABLE
 
 
--- a/packages/client/buckthorn_client/publishing.py
+++ b/packages/client/buckthorn_client/publishing.py
@@ -65,7 +65,8 @@
         first append is ignored by all readers.
 
         Raises:
-            errors.LogError: The log did not take the publication.
+            errors.LogError: The log can't take the publication, or did not
+                answer, so that its fate is unknown.
         """
         record = records.sign(
             records.Publication(
@@ -91,7 +92,7 @@
             if attempt + 1 < MAX_TRIES:
                 time.sleep(RETRY_S * (attempt + 1))
         raise errors.LogError(
-            errors.Code.LOG_UNAVAILABLE,
+            errors.Code.OUTCOME_UNKNOWN,
             f"the fate of publication {record.id} is unknown: the log did not"
             " answer, but may have taken it. When the log answers again, look"
             " for the publication with `buckthornctl history` before you"
--- a/packages/daemon/buckthorn_daemon/querying.py
+++ b/packages/daemon/buckthorn_daemon/querying.py
@@ -24,7 +24,7 @@
 from buckthorn_daemon import state
 
 QUERY_TIMEOUT_S = 1.0
-MAX_ROOT_TRIES = 3
+MAX_ROOT_TRIES = 2
 
 
 def count(shared: state.State) -> messages.StatusReply:
@@ -95,7 +95,7 @@
     """
     with shared.lock:
         targets = list(_root_addresses(shared))
-    for address, scope in targets[:MAX_ROOT_TRIES]:
+    for address, scope in targets:
         try:
             envelope = shared.client.request(
                 address, messages.StatusQuery(), scope, QUERY_TIMEOUT_S
@@ -125,8 +125,13 @@
         return
     contacts = shared.table.entries.get(f"r/{cfg.log_region}")
     if isinstance(contacts, entries.RegionContacts):
-        for address in contacts.addresses:
+        for address in contacts.addresses[:MAX_ROOT_TRIES]:
             yield address, traffic.Scope.REGION
+    # Cut off from the log's region, the own region's part is what is left.
+    for daemon in shared.tree().relays[:1]:
+        member = shared.membership.member(daemon)
+        if member is not None and daemon != cfg.daemon_id:
+            yield member.peer_address, traffic.Scope.LOCAL
 
 
 def _site_statuses(
