Find a wrong publishing key before a publication

A client with a wrong key took its own publication for accepted, while all daemons ignored it: every other record looked unsigned to it.

--- a/packages/client/buckthorn_client/following.py
+++ b/packages/client/buckthorn_client/following.py
@@ -11,6 +11,9 @@
 from buckthorn_core import records
 
 READ_LIMIT = 256
+# Records before the start that are searched for a publication, to find out
+# whether the publishing key is the right one.
+KEY_CHECK_RECORDS = 64
 # Bundles kept for differences; each is at most a log record.
 KEPT_BUNDLES = 16
 
@@ -29,6 +32,8 @@
         self._keys = (publish_key, peer_key)
         self.acceptor = acceptance.Acceptor(publish_key, peer_key)
         self._started = False
+        self._signed = 0
+        self._foreign = 0
         self._bundles: collections.OrderedDict[
             meshes.VersionId, meshes.Bundle
         ] = collections.OrderedDict()
@@ -46,8 +51,9 @@
             stop_at: Stop once this version is accepted.
 
         Raises:
-            errors.LogError: The log can't be read now, or has lost records
-                that no checkpoint covers.
+            errors.LogError: The log can't be read now, has lost records that
+                no checkpoint covers, or no publication in it is signed with
+                the publishing key.
         """
         if not self._started:
             self._start(wanted)
@@ -63,6 +69,7 @@
                     return acceptor.version
             if acceptor.next_offset >= batch.end:
                 self._check_gap()
+                self._check_key()
                 return acceptor.version
 
     def outcome(
@@ -112,9 +119,47 @@
             raise errors.LogError(
                 errors.Code.LOG_GAP,
                 "the log has dropped records that no checkpoint covers; wait"
-                " a minute until a daemon has written one, and try again",
+                " a minute until a daemon has written one, and try again. If"
+                " that does not help, peer_key in the settings is not that of"
+                " the daemons",
             )
 
+    def _check_key(self) -> None:
+        """Finds a wrong key, with which only the own publication counts.
+
+        A client with a wrong key would otherwise report its publication as
+        accepted, which all daemons ignore.
+        """
+        if not self._signed and not self._foreign:
+            self._look_before_start()
+        if self._foreign and not self._signed:
+            raise errors.LogError(
+                errors.Code.BAD_SETTINGS,
+                "none of the latest publications in the log is signed with"
+                " your publish_key; copy the key from the daemons' settings",
+            )
+
+    def _look_before_start(self) -> None:
+        start = max(0, self.acceptor.next_offset - KEY_CHECK_RECORDS)
+        batch = self._log.read(
+            records.CONFIG_STREAM, ids.Offset(start), KEY_CHECK_RECORDS
+        )
+        for found in batch.records:
+            self._note_signature(found.data)
+
+    def _note_signature(self, data: bytes) -> records.Publication | None:
+        try:
+            record = records.decode(data)
+        except errors.LogError:
+            return None
+        if not isinstance(record, records.Publication):
+            return None
+        if records.is_signed(record, self._keys[0]):
+            self._signed += 1
+        else:
+            self._foreign += 1
+        return record
+
     def _apply(self, found: ports.LogRecord) -> None:
         acceptor = self.acceptor
         before = acceptor.version
@@ -123,11 +168,8 @@
             self._bundles[acceptor.version] = meshes.decode(acceptor.raw)
             if len(self._bundles) > KEPT_BUNDLES:
                 self._bundles.popitem(last=False)
-        try:
-            record = records.decode(found.data)
-        except errors.LogError:
-            return
-        if isinstance(record, records.Publication):
+        record = self._note_signature(found.data)
+        if record is not None:
             self._verdicts.setdefault(record.id, outcome)
 
     def _read_older(self, number: ids.VersionNumber) -> meshes.Bundle:
--- a/packages/client/buckthorn_client/publications.py
+++ b/packages/client/buckthorn_client/publications.py
@@ -50,8 +50,8 @@
             commands.as_json(),
             {"fate": "refused", "detail": result.detail},
             f"refused: {result.detail}\nversion {result.version.number} stays"
-            " in force; if the detail is `unsigned`, publish_key in the"
-            " settings is not that of the daemons",
+            " accepted; run `buckthornctl check` with the release that the"
+            " daemons run",
         )
         return commands.Exit.REFUSED
     text = f"accepted: version {result.version.number}"
--- a/tests/client/test_publishing.py
+++ b/tests/client/test_publishing.py
@@ -56,8 +56,8 @@
     )
 
 
-def make_publisher(log: MemoryLog) -> publishing.Publisher:
-    return publishing.Publisher(log, KEY, KEY)
+def make_publisher(log: MemoryLog, key: bytes = KEY) -> publishing.Publisher:
+    return publishing.Publisher(log, key, KEY)
 
 
 def fill(log: MemoryLog, count: int, checkpoint_after: int) -> None:
@@ -142,3 +142,13 @@
     assert change == differences.Change(
         ["koege-bugt"], "services.stock-catalogue.slots", str(number), "40"
     )
+
+
+@pytest.mark.parametrize("checkpoint_after", [0, 3, 5])
+def test_wrong_publishing_key_is_found_before_a_publication(checkpoint_after):
+    """Guards against success reported for what all daemons ignore."""
+    log = MemoryLog()
+    fill(log, 5, checkpoint_after)
+    with pytest.raises(errors.LogError) as caught:
+        make_publisher(log, b"another-key-0123456").catch_up()
+    assert caught.value.code is errors.Code.BAD_SETTINGS
