--- a/packages/client/buckthorn_client/following.py
+++ b/packages/client/buckthorn_client/following.py
@@ -3,7 +3,7 @@
 import collections
 
 from buckthorn_core import acceptance
-from buckthorn_core import checkpoints
+from buckthorn_core import checkpoint_search
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import meshes
@@ -41,7 +41,7 @@
 
     def catch_up(
         self,
-        wanted: checkpoints.Wanted = lambda _: True,
+        wanted: checkpoint_search.Wanted = lambda _: True,
         stop_at: ids.VersionNumber | None = None,
     ) -> meshes.VersionId:
         """Reads the log to its end and returns the accepted version.
@@ -106,8 +106,10 @@
             return meshes.NO_VERSION
         return meshes.VersionId(number, meshes.digest(meshes.encode(bundle)))
 
-    def _start(self, wanted: checkpoints.Wanted) -> None:
-        checkpoint = checkpoints.find_newest(self._log, self._keys[1], wanted)
+    def _start(self, wanted: checkpoint_search.Wanted) -> None:
+        checkpoint = checkpoint_search.find_newest(
+            self._log, self._keys[1], wanted
+        )
         if checkpoint is not None:
             # The acceptor takes the part before as a gap, which this
             # checkpoint then covers.
--- a/packages/client/buckthorn_client/history.py
+++ b/packages/client/buckthorn_client/history.py
@@ -6,7 +6,7 @@
 
 from buckthorn_client import commands
 from buckthorn_client import outputs
-from buckthorn_core import checkpoints
+from buckthorn_core import checkpoint_search
 from buckthorn_core import records
 
 _LIMIT = flags.DEFINE_integer(
@@ -47,7 +47,7 @@
     return commands.Exit.OK
 
 
-def _reaching_back(count: int) -> checkpoints.Wanted:
+def _reaching_back(count: int) -> checkpoint_search.Wanted:
     """Returns a test for a checkpoint with enough versions after it."""
     newest: list[int] = []
 
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -89,6 +89,7 @@
             self._ingress.send_continues,
         )
         add("finals", claiming.FLUSH_S, self._claimer.flush)
+        add("catch_up", 0.5, distributor.catch_up)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
         self.shared.on_version.append(report.wake)
