Measure what operation keys cost, and stop hints that only grow

An owner told holders to ask again after the time that earlier holders had taken, which contains the time that they had been told to wait. It now goes by the time until the claim was read in the log, and holders subtract the way to the owner.

--- a/packages/core/buckthorn_core/operations.py
+++ b/packages/core/buckthorn_core/operations.py
@@ -127,10 +127,7 @@
             return self._unavailable(now_s)
         answer = self._decide(claim, waiter, now_ms)
         if answer is not None:
-            if waiter is not None:
-                spent_s = now_s - waiter.first_s
-                self._decision_s += SMOOTHING * (spent_s - self._decision_s)
-                self._drop(claim.token)
+            self._drop(claim.token)
             return answer
         if waiter is not None:
             waiter.asked_s = now_s
@@ -220,7 +217,7 @@
             ledger.skip_to(batch.first)
         for record in batch.records:
             if record.offset == ledger.next_offset:
-                self._apply(record)
+                self._apply(record, now_s)
         if ledger.next_offset >= batch.end:
             self._at_end(now_s)
         self._forget(now_s)
@@ -248,7 +245,7 @@
         # The record is gone although it was acknowledged; append it again.
         self._acknowledged = None
 
-    def _apply(self, record: ports.LogRecord) -> None:
+    def _apply(self, record: ports.LogRecord, now_s: float) -> None:
         batch = self._decode(record.data)
         lost = self.ledger.apply(record.offset, record.time_ms, batch)
         for token in lost:
@@ -260,14 +257,25 @@
             if isinstance(item, claims.Final):
                 self._finals.pop(item.token, None)
                 self._settled[item.token] = None
-            else:
-                self._queue.pop(item.token, None)
+            elif self._queue.pop(item.token, None) is not None:
+                self._note_decision(item.token, now_s)
         while len(self._settled) > MAX_SETTLED:
             self._settled.popitem(last=False)
         if self._sent is not None and batch.id == self._sent.id:
             self._sent = None
             self._acknowledged = None
 
+    def _note_decision(self, token: bytes, now_s: float) -> None:
+        """Learns when holders should ask for a decision.
+
+        The time until a holder asked again would not do: it is at least the
+        time that it was told to wait, so that it could only grow.
+        """
+        waiter = self._waiting.get(token)
+        if waiter is not None:
+            spent_s = now_s - waiter.first_s
+            self._decision_s += SMOOTHING * (spent_s - self._decision_s)
+
     def _decode(self, data: bytes) -> claims.ClaimBatch | None:
         try:
             record = records.decode(data)
--- a/packages/daemon/buckthorn_daemon/claiming.py
+++ b/packages/daemon/buckthorn_daemon/claiming.py
@@ -18,6 +18,7 @@
 # A caller hears within this time that its key can't be claimed.
 CLAIM_WAIT_S = 3.0
 LOST_PAUSE_S = 0.05
+MIN_PAUSE_S = 0.002
 MAX_MOVES = 4
 FLUSH_S = 0.1
 FINAL_AGAIN_S = 0.35
@@ -174,6 +175,7 @@
         moves = 0
         while (left_s := end_s - time.monotonic()) > 0:
             pause_s = 0.0
+            asked_s = time.monotonic()
             try:
                 answer = self._peers.claim(claim, address, left_s)
             except errors.PeerError:
@@ -189,7 +191,9 @@
                 pause_s = LOST_PAUSE_S if moves > MAX_MOVES else 0.0
             elif answer.verdict is claims.Verdict.PENDING:
                 recorded = True
-                pause_s = answer.retry_ms / 1000
+                # The owner counts from its answer to the next question.
+                trip_s = time.monotonic() - asked_s
+                pause_s = max(MIN_PAUSE_S, answer.retry_ms / 1000 - trip_s)
             elif answer.verdict in _NOT_CLAIMED:
                 break
             else:
--- a/packages/standins/buckthorn_standins/arrivals.py
+++ b/packages/standins/buckthorn_standins/arrivals.py
@@ -22,11 +22,15 @@
         addresses: Where to send them, each chosen at random.
         path: Path of each request.
         rate_per_s: Mean rate; arrivals are a Poisson process.
+        method: Method of each request, which has no body.
+        keyed: Whether each request gets an operation key of its own.
     """
 
     addresses: Sequence[str]
     path: str
     rate_per_s: float
+    method: str = "GET"
+    keyed: bool = False
 
 
 class Answer(NamedTuple):
@@ -92,17 +96,17 @@
 
 
 async def _ask(
-    connections: _Connections, address: str, path: str
+    connections: _Connections, address: str, head: str
 ) -> tuple[int, str]:
     reader, writer = await connections.take(address)
     keep = False
     try:
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+        writer.write(f"{head}Host: {address}\r\n\r\n".encode())
         status = 100
         headers: dict[str, str] = {}
         while status < 200:
-            head = await reader.readuntil(b"\r\n\r\n")
-            status, headers = parse_head(head)
+            found = await reader.readuntil(b"\r\n\r\n")
+            status, headers = parse_head(found)
         if "content-length" in headers:
             await reader.readexactly(int(headers["content-length"]))
             keep = headers.get("connection", "").lower() != "close"
@@ -116,6 +120,15 @@
             writer.close()
 
 
+def _head(stream: Stream, rng: random.Random) -> str:
+    head = f"{stream.method} {stream.path} HTTP/1.1\r\n"
+    if stream.method != "GET":
+        head += "Content-Length: 0\r\n"
+    if stream.keyed:
+        head += f"Idempotency-Key: {rng.getrandbits(128):032x}\r\n"
+    return head
+
+
 async def _send(
     stream: Stream, rng: random.Random, seconds: float, stop: threading.Event
 ) -> list[Answer]:
@@ -123,10 +136,10 @@
     answers: list[Answer] = []
     start_s = time.monotonic()
 
-    async def one(due_s: float, address: str) -> None:
+    async def one(due_s: float, address: str, head: str) -> None:
         try:
             async with asyncio.timeout(GIVE_UP_S):
-                status, code = await _ask(connections, address, stream.path)
+                status, code = await _ask(connections, address, head)
                 error = ""
         except (OSError, EOFError, ValueError) as exc:
             # TimeoutError is an OSError.
@@ -143,7 +156,8 @@
             wait_s = start_s + due_s - time.monotonic()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
-            group.create_task(one(due_s, rng.choice(stream.addresses)))
+            address = rng.choice(stream.addresses)
+            group.create_task(one(due_s, address, _head(stream, rng)))
     connections.close()
     return answers
 
--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -30,6 +30,7 @@
     "herd",
     "footprint",
     "member_costs",
+    "operation_costs",
 )
 
 
--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -211,6 +211,18 @@
     assert bodies == [None, b"done", b"done"]
 
 
+def test_holders_are_not_told_to_wait_longer_and_longer(log):
+    """Guards against a hint that is learnt from the hint itself."""
+    owner = fakes.make_owner("a")
+    hints = []
+    for n in range(20):
+        claim = fakes.make_claim(f"k{n}", f"t{n}")
+        hints.append(owner.claim(claim, log.now_s, log.now_ms).retry_ms)
+        fakes.settle(owner, log)
+        owner.claim(claim, log.now_s, log.now_ms)
+    assert max(hints) <= 1_000 * 2 * operations.BATCH_S
+
+
 def test_appends_are_bounded_whatever_the_number_of_claims(log):
     """Guards against a log overloaded by many claims."""
     owner = fakes.make_owner("a")
