--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -97,7 +97,11 @@
         )
 
     def pieces(self) -> Iterator[bytes]:
-        """Yields the pieces of a long body."""
+        """Yields the pieces of a long body.
+
+        Raises:
+            errors.RequestError: The body is cut short or too long.
+        """
         try:
             for piece in self.exchange.body.pieces():
                 self.body_consumed = True
@@ -327,6 +331,7 @@
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
         lease = self._pools.take(endpoint.address, not call.idempotent)
+        resp = None
         try:
             resp = lease.send(
                 call.exchange.method,
@@ -348,7 +353,9 @@
                 errors.Code.PEER_UNAVAILABLE, str(exc), 1.0
             ) from exc
         except errors.BuckthornError as exc:
-            if exc.trait.not_run:
+            # Without an answer the request is sent in part only, and the
+            # connection can't be used again.
+            if exc.trait.not_run and resp is not None:
                 lease.release()
             else:
                 lease.discard()
