--- a/packages/standins/buckthorn_standins/herd.py
+++ b/packages/standins/buckthorn_standins/herd.py
@@ -1,7 +1,6 @@
 """Experiment: many daemons are killed at once and start again at once."""
 
 import collections
-from collections.abc import Callable
 import math
 import random
 import signal
@@ -25,6 +24,7 @@
 LOG_DOWN_S = 15.0
 SEEDS_PER_REGION = 3
 SAMPLE_PAUSE_S = 0.02
+POLL_S = 0.1
 WHO = ("third", "site", "all")
 
 
@@ -124,12 +124,32 @@
         mesh.start_daemon(instance)
 
 
-def _time_until(done: Callable[[], bool], started_s: float) -> float:
-    while time.monotonic() - started_s < TIMEOUT_S:
-        if done():
-            return time.monotonic() - started_s
-        time.sleep(0.1)
-    return float("nan")
+class _Watch:
+    """Notes when all daemons are ready, and when all are known."""
+
+    def __init__(self, mesh: fleet.Fleet, version: int, started_s: float):
+        self._mesh = mesh
+        self._version = version
+        self._started_s = started_s
+        self.ready_s = math.nan
+        self.known_s = math.nan
+
+    def run(self, end_s: float, wait_for_all: bool) -> None:
+        """Watches until a time, or until both have happened."""
+        mesh = self._mesh
+        while time.monotonic() < end_s:
+            if math.isnan(self.ready_s) and trials.all_ready(
+                mesh, mesh.instances, self._version
+            ):
+                self.ready_s = time.monotonic() - self._started_s
+            if math.isnan(self.known_s) and trials.all_known(
+                mesh, mesh.instances
+            ):
+                self.known_s = time.monotonic() - self._started_s
+            done = not math.isnan(self.ready_s + self.known_s)
+            if done and wait_for_all:
+                return
+            time.sleep(POLL_S)
 
 
 def _recover(
@@ -153,39 +173,23 @@
     started_s, first = time.monotonic(), time.time_ns() // 100_000_000
     sampler = Sampler(victims, mesh.deployment.lookup + "item", version)
     sampler.start()
-    ready_s = float("nan")
+    watch = _Watch(mesh, version, started_s)
     if log_down:
-        ready_s = _sit_out(mesh, version, started_s)
+        watch.run(started_s + LOG_DOWN_S, wait_for_all=False)
         mesh.set_log_faults(down=False)
-    if math.isnan(ready_s):
-        ready_s = _time_until(
-            lambda: trials.all_ready(mesh, everyone, version), started_s
-        )
-    known_s = _time_until(lambda: trials.all_known(mesh, everyone), started_s)
+    watch.run(started_s + TIMEOUT_S, wait_for_all=True)
     sampler.close()
     after = convergence.control_bytes(mesh)
     return Recovery(
         len(victims),
-        ready_s,
-        known_s,
+        watch.ready_s,
+        watch.known_s,
         {scope: after[scope] - before[scope] for scope in after},
         peak_per_second(mesh.log_requests(), first),
         dict(sampler.kinds),
     )
 
 
-def _sit_out(mesh: fleet.Fleet, version: int, started_s: float) -> float:
-    """Waits while the log is down; returns when all were ready, or NaN."""
-    ready_s = float("nan")
-    while time.monotonic() - started_s < LOG_DOWN_S:
-        if math.isnan(ready_s) and trials.all_ready(
-            mesh, mesh.instances, version
-        ):
-            ready_s = time.monotonic() - started_s
-        time.sleep(0.2)
-    return ready_s
-
-
 def seeds_of(
     instances: list[fleet.Instance],
 ) -> dict[str, list[str]]:
