Leave half of the HTTP threads to the requests of other daemons

Callers' requests and requests for the upstream are served by the same threads, and the former wait for the latter at other daemons.

Egress now refuses callers at once when they hold half of the threads.

--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -88,6 +88,10 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
+        # Callers' requests wait for other daemons' ingress, which runs on the
+        # same threads. If they held all threads of all daemons, none of them
+        # could go on.
+        self._most_running = max(1, shared.cfg.http_threads // 2)
         self._closed = False
 
     @property
@@ -139,6 +143,12 @@
             raise errors.RequestError(
                 errors.Code.DRAINING, "this daemon is stopping", 1.0
             )
+        if self._running > self._most_running:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                f"{self._most_running} requests of callers run here",
+                1.0,
+            )
         snapshot = self._shared.holder.current
         if snapshot is None or not self._shared.holder.ready:
             raise errors.RequestError(
--- a/packages/daemon/buckthorn_daemon/settings.py
+++ b/packages/daemon/buckthorn_daemon/settings.py
@@ -39,7 +39,8 @@
         seeds: Peer addresses to join at when the log can't be read.
         publish_key: Shared key that signs publications.
         peer_key: Shared key that authenticates daemons.
-        http_threads: Requests that are served at once.
+        http_threads: Requests that are served at once; at most half of them
+            are those of callers.
         choice_policy: Policy that chooses upstreams.
         log_poll_ms: Pause between reads of the log, in ms.
         checkpoint_s: Longest time between checkpoints, in seconds; less
--- /dev/null
+++ b/tests/daemon/test_egress.py
@@ -0,0 +1,65 @@
+"""Limits of egress."""
+
+from concurrent import futures
+import threading
+import types
+
+import pytest
+
+from buckthorn_adapters import metrics
+from buckthorn_core import choices
+from buckthorn_core import errors
+from buckthorn_core import traffic
+from buckthorn_daemon import egress
+
+WAIT_S = 10.0
+
+
+class _Holder:
+    """Keeps requests in flight until released, then has them refused."""
+
+    current = object()
+
+    def __init__(self):
+        self.entered = threading.Semaphore(0)
+        self.release = threading.Event()
+
+    @property
+    def ready(self):
+        self.entered.release()
+        assert self.release.wait(WAIT_S)
+        return False
+
+
+def test_callers_leave_threads_for_other_daemons_requests():
+    """Guards against daemons that wait for each other's threads.
+
+    Requests of callers hold threads while they wait for the ingress of other
+    daemons; when they held all of them, requests ran into their deadlines.
+    """
+    holder = _Holder()
+    cfg = types.SimpleNamespace(
+        http_threads=4, choice_policy=choices.DEFAULT_POLICY
+    )
+    shared = types.SimpleNamespace(
+        cfg=cfg,
+        holder=holder,
+        metrics=metrics.Metrics(traffic.ControlTraffic()),
+    )
+    found = egress.Egress(shared, None)
+
+    def code_of_refusal():
+        with pytest.raises(errors.RequestError) as caught:
+            found.handle(None)
+        assert caught.value.trait.not_run
+        return caught.value.code
+
+    with futures.ThreadPoolExecutor(2) as pool:
+        running = [pool.submit(code_of_refusal) for _ in range(2)]
+        for _ in running:
+            assert holder.entered.acquire(timeout=WAIT_S)
+        assert code_of_refusal() is errors.Code.SLOTS_FULL
+        holder.release.set()
+        codes = {future.result(WAIT_S) for future in running}
+    assert codes == {errors.Code.NOT_READY}
+    assert code_of_refusal() is errors.Code.NOT_READY
