--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
 
-.PHONY: demo experiment test lint format docs clean
+.PHONY: demo experiment test lint format docs matrix clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
@@ -39,5 +39,8 @@
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
 	touch $@
 
+matrix: $(VENV)/installed
+	$(VENV)/bin/python tools/matrix.py --write
+
 clean:
 	rm -rf $(VENV) out
