--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -19,6 +19,7 @@
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
 from buckthorn_daemon import owning
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import querying
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
@@ -84,9 +85,9 @@
         add("summary", summarising.SUMMARY_S, self._summariser.run)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
-            "continue",
-            ingress.CONTINUE_PERIOD_S * 0.8,
-            self._ingress.send_continues,
+            "quarantine",
+            quarantining.TICK_PERIOD_S,
+            quarantining.Guard(self.shared).tick,
         )
         add("finals", claiming.FLUSH_S, self._claimer.flush)
         add("catch_up", 0.5, distributor.catch_up)
@@ -110,6 +111,7 @@
         self._http.start()
         self._admin_http.start()
         self._owners.start()
+        self._ingress.start()
         self._scheduler.start()
         _logger.info("started", daemon=self._cfg.daemon_id)
 
--- a/tests/matrix/test_requests.py
+++ b/tests/matrix/test_requests.py
@@ -97,6 +97,7 @@
         route=types.SimpleNamespace(service="stock"),
         exchange=types.SimpleNamespace(started=False),
         tried=set(),
+        fingerprint="",
         idempotent=True,
         body_consumed=False,
     )
