--- a/tests/daemon/test_egress.py
+++ b/tests/daemon/test_egress.py
@@ -46,7 +46,7 @@
         holder=holder,
         metrics=metrics.Metrics(traffic.ControlTraffic()),
     )
-    found = egress.Egress(shared, None)
+    found = egress.Egress(shared, None, lambda call, cause, seconds: None)
 
     def code_of_refusal():
         with pytest.raises(errors.RequestError) as caught:
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -93,7 +93,7 @@
     assert book(near, keys[0], "2").status == 422
     too_long = (bytes(65_536) for _ in range(20))
     cut = book(near, "too-long", body=too_long)
-    assert (cut.status, cut.headers.get("Buckthorn-Not-Run")) == (400, None)
+    assert (cut.status, cut.headers.get("Buckthorn-Not-Run")) == (413, None)
     assert book(near, "too-long").status == 409
     mesh.set_log_faults(down=True)
     refused = book(near, "during-an-outage")
