Keep threads for refusals, and bound what the ingress holds by threads

Cause: the ingress took in as many requests as the upstream has connections (130), each on a thread of 48. Above capacity refusals waited for a thread.

Change: callers and the upstream may each hold 7 of 16 threads, the rest refuses; 96 threads by default.

--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -26,6 +26,7 @@
 from buckthorn_daemon import claiming
 from buckthorn_daemon import headers
 from buckthorn_daemon import quarantining
+from buckthorn_daemon import settings
 from buckthorn_daemon import state
 
 # Daemons add some headers, which must fit into the next daemon's limit too.
@@ -135,10 +136,7 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
-        # Callers' requests wait for other daemons' ingress, which runs on the
-        # same threads. If they held all threads of all daemons, none of them
-        # could go on.
-        self._most_running = max(1, shared.cfg.http_threads // 2)
+        self._most_running = settings.thread_share(shared.cfg.http_threads)
         self._closed = False
 
     @property
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -18,6 +18,7 @@
 from buckthorn_daemon import crashes
 from buckthorn_daemon import headers
 from buckthorn_daemon import quarantining
+from buckthorn_daemon import settings
 from buckthorn_daemon import state
 
 ANNOUNCE_TIMEOUT_S = 3.0
@@ -207,7 +208,9 @@
         if service:
             slots = min(slots, service.slots)
             connections = min(connections, service.connections)
-        return admission.Limits(max(1, slots), max(1, connections))
+        share = settings.thread_share(self._shared.cfg.http_threads)
+        held = min(share, connections)
+        return admission.Limits(max(1, slots), max(1, held))
 
     def _publish(self, upstream: Announcement) -> None:
         with self._shared.lock:
--- a/packages/daemon/buckthorn_daemon/settings.py
+++ b/packages/daemon/buckthorn_daemon/settings.py
@@ -39,8 +39,8 @@
         seeds: Peer addresses to join at when the log can't be read.
         publish_key: Shared key that signs publications.
         peer_key: Shared key that authenticates daemons.
-        http_threads: Requests that are served at once; at most half of them
-            are those of callers.
+        http_threads: Threads that serve requests; callers and the upstream
+            beside the daemon have a share of 7 in 16 each, the rest refuses.
         choice_policy: Policy that chooses upstreams.
         log_poll_ms: Pause between reads of the log, in ms.
         checkpoint_s: Longest time between checkpoints, in seconds; less
@@ -70,7 +70,7 @@
     seeds: list[ids.Address] = []
     publish_key: str
     peer_key: str
-    http_threads: int = 48
+    http_threads: int = 96
     choice_policy: str = choices.DEFAULT_POLICY
     log_poll_ms: int = 200
     checkpoint_s: float = 600.0
@@ -180,6 +180,16 @@
     )
 
 
+def thread_share(http_threads: int) -> int:
+    """Returns how many threads callers, or the own upstream, may hold.
+
+    Requests of callers wait for the ingress of other daemons, and requests in
+    the ingress wait for slots. If either held all threads, daemons would wait
+    for each other, and refusals would wait for a thread.
+    """
+    return max(1, (http_threads - http_threads // 8) // 2)
+
+
 def load(path: pathlib.Path) -> Settings:
     """Loads and checks settings.
 
