--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -18,6 +18,8 @@
 REPEAT_S = 10.0
 # Events whose repetition is news: each stands for another state.
 REPEATABLE = frozenset({"version_accepted", "version_in_force"})
+# Fields that say whose state changed; events of others are other events.
+SUBJECTS = ("job", "service", "partition")
 _OWN_EXTRA = "left_out"
 
 
@@ -35,9 +37,7 @@
         if event in REPEATABLE:
             return True
         extra = record["extra"]
-        # A failing job and an upstream that goes and returns are told apart
-        # from others of the same event.
-        key = (event, extra.get("job"), extra.get("service"))
+        key = (event, *(extra.get(name) for name in SUBJECTS))
         now_s = record["elapsed"].total_seconds()
         with self._lock:
             if now_s - self._last_s.get(key, -REPEAT_S) < REPEAT_S:
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -123,7 +123,9 @@
         self,
         shared: state.State,
         claimer: claiming.Claimer,
-        on_finished: Callable[[Call | None, str, float], None],
+        on_finished: Callable[[Call | None, str, float], None] = (
+            lambda call, cause, seconds: None
+        ),
     ):
         self._shared = shared
         self._claimer = claimer
