--- a/packages/core/buckthorn_core/messages.py
+++ b/packages/core/buckthorn_core/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from buckthorn_core import claims
 from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -108,11 +109,13 @@
         held: Version in force at the child.
         counts: Number of daemons below by version number, child included.
         laggards: Some daemons with the lowest version.
+        sites: The counts of each site.
     """
 
     held: meshes.VersionId
     counts: dict[int, int]
     laggards: list[ids.DaemonId]
+    sites: dict[ids.SiteName, dict[int, int]] = {}
 
 
 class ReportReply(
@@ -152,6 +155,46 @@
     digest: int
 
 
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """Asks the owner of a partition for an operation key.
+
+    It is sent again, unchanged, while the answer is pending.
+    """
+
+    claim: claims.Claim
+
+
+class ClaimReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="claim_reply"
+):
+    """What became of the claim so far."""
+
+    answer: claims.Answer
+
+
+class Complete(msgspec.Struct, frozen=True, array_like=True, tag="complete"):
+    """Ends of claimed requests of one partition, releases among them.
+
+    It is sent again, unchanged, until the answer names the tokens.
+    """
+
+    finals: list[claims.Final]
+
+
+class CompleteReply(
+    msgspec.Struct, frozen=True, array_like=True, tag="complete_reply"
+):
+    """Which ends are recorded in the log.
+
+    Attributes:
+        tokens: Tokens of the recorded ends.
+        address: Where the partition's owner is, if it is another daemon.
+    """
+
+    tokens: list[bytes]
+    address: ids.Address = ids.Address("")
+
+
 class StatusQuery(msgspec.Struct, frozen=True, array_like=True, tag="status"):
     """Asks for the versions in force below a daemon."""
 
@@ -162,14 +205,21 @@
     """Versions in force.
 
     Attributes:
-        accepted: The version that the log's readers accepted.
+        accepted: The latest version that the answering daemon knows; at a
+            log reader the accepted one.
         counts: Number of daemons by version number.
         laggards: Some daemons with the lowest version.
+        sites: The counts of each site.
+        root: Whether the counts cover the whole fleet.
+        roles: Holders of roles in its region.
     """
 
     accepted: meshes.VersionId
     counts: dict[int, int]
     laggards: list[ids.DaemonId]
+    sites: dict[ids.SiteName, dict[int, int]] = {}
+    root: bool = False
+    roles: dict[str, list[ids.DaemonId]] = {}
 
 
 Payload = (
@@ -188,6 +238,10 @@
     | ReportReply
     | Summary
     | SummaryReply
+    | Claim
+    | ClaimReply
+    | Complete
+    | CompleteReply
     | StatusQuery
     | StatusReply
 )
--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -5,7 +5,7 @@
 import loguru
 
 from buckthorn_core import acceptance
-from buckthorn_core import checkpoints
+from buckthorn_core import checkpoint_plans
 from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ports
@@ -28,7 +28,7 @@
         self._shared = shared
         self._log = log
         self._failures = 0
-        self._plan = checkpoints.CheckpointPlan(shared.cfg.checkpoint_s)
+        self._plan = checkpoint_plans.CheckpointPlan(shared.cfg.checkpoint_s)
         self._at_end = False
         self._ahead = False
         self._contacts: records.Contacts | None = None
@@ -128,7 +128,7 @@
         reason = self._plan.due(rank, self._at_end, self._ahead, remote, now_s)
         if reason is None:
             return
-        if reason is not checkpoints.Reason.PERIOD:
+        if reason is not checkpoint_plans.Reason.PERIOD:
             _logger.warning("checkpoint_out_of_turn", reason=reason.value)
         self._append_checkpoint()
 
@@ -141,7 +141,7 @@
             readers = roles.holders("log_reader", eligible)
             found = [shared.membership.member(reader) for reader in readers]
             gapped = {m.id for m in found if m is not None and m.gapped}
-            return checkpoints.rank(shared.cfg.daemon_id, readers, gapped)
+            return checkpoint_plans.rank(shared.cfg.daemon_id, readers, gapped)
 
     def _append_checkpoint(self) -> None:
         shared = self._shared
--- a/tests/matrix/test_plans.py
+++ b/tests/matrix/test_plans.py
@@ -3,11 +3,11 @@
 import pytest
 
 from buckthorn_core import catchups
-from buckthorn_core import checkpoints
+from buckthorn_core import checkpoint_plans
 from buckthorn_core import ids
 from buckthorn_core import traffic
 
-RECOVERY = checkpoints.Reason.RECOVERY
+RECOVERY = checkpoint_plans.Reason.RECOVERY
 
 
 @pytest.mark.parametrize(
@@ -25,18 +25,18 @@
     readers, gapped, want
 ):
     """Guards against a gapped writer beside a reader that knows more."""
-    assert checkpoints.rank("me", readers, gapped) == want
+    assert checkpoint_plans.rank("me", readers, gapped) == want
 
 
 @pytest.mark.parametrize(
     ("rank", "at_end", "ahead", "gapped", "remote", "age_s", "want"),
     [
         (0, True, False, False, False, 99, None),
-        (0, True, False, False, False, 100, checkpoints.Reason.PERIOD),
+        (0, True, False, False, False, 100, checkpoint_plans.Reason.PERIOD),
         (1, True, False, False, False, 124, None),
-        (1, True, False, False, False, 125, checkpoints.Reason.PERIOD),
+        (1, True, False, False, False, 125, checkpoint_plans.Reason.PERIOD),
         (0, False, False, False, False, 1_000, None),
-        (0, True, True, False, False, 1, checkpoints.Reason.CORRECTION),
+        (0, True, True, False, False, 1, checkpoint_plans.Reason.CORRECTION),
         (0, True, True, True, False, 29, None),
         (0, True, False, True, False, 30, RECOVERY),
         (1, True, False, True, False, 59, None),
@@ -46,7 +46,7 @@
 )
 def test_checkpoint_is_due(rank, at_end, ahead, gapped, remote, age_s, want):
     """Guards against checkpoints too early, too late, or off the log's end."""
-    plan = checkpoints.CheckpointPlan(100.0)
+    plan = checkpoint_plans.CheckpointPlan(100.0)
     plan.note_checkpoint(0.0, 0.0)
     plan.note_gapped(gapped, 0.0)
     assert plan.due(rank, at_end, ahead, remote, float(age_s)) is want
