Add a random machine over acceptance and relays, with planted faults

A log with repeats, damaged records and retention; four hosts that read it, write checkpoints, pull from each other with damaged data, and restart with nothing. Checks G1, G2, G3 and G9 after each step. One planted fault for each shows that the check can fail.

--- /dev/null
+++ b/tests/matrix/test_versions.py
@@ -0,0 +1,243 @@
+"""Random histories of the log, with acceptors and relays that lose state.
+
+No clock and no channel: thousands of steps in seconds.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import msgspec
+import pytest
+from tests.fakes import bundles
+
+from buckthorn_adapters import compressors
+from buckthorn_core import acceptance
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import records
+from buckthorn_core import relays
+from buckthorn_core import snapshots
+from buckthorn_core import validation
+from buckthorn_core import views
+
+COUNT = 4
+hosts = strategies.integers(0, COUNT - 1)
+
+
+class Host:
+    """What one daemon keeps of versions."""
+
+    def __init__(self):
+        self.acceptor = acceptance.Acceptor(bundles.KEY, bundles.KEY)
+        self.holder = snapshots.SnapshotHolder()
+        self.relay = relays.Relay(compressors.ZstdDeltaCodec())
+        self.seen = [0]
+
+    def put(self, version: meshes.VersionId, raw: bytes) -> None:
+        try:
+            found = snapshots.build(version, raw, ids.SiteName("n1"))
+        except errors.ConfigError:
+            return
+        if self.holder.apply(found):
+            self.relay.put(version, raw)
+            self.seen.append(version.number)
+
+
+class VersionMachine(stateful.RuleBasedStateMachine):
+    """A log, hosts that read it or pull from each other, and faults."""
+
+    def __init__(self):
+        super().__init__()
+        self.log: list[bytes] = []
+        self.first = 0
+        self.published = 0
+        self.hosts = [Host() for _ in range(COUNT)]
+        self.oracle = acceptance.Acceptor(bundles.KEY, bundles.KEY)
+        # The accepted version after each record.
+        self.history = [meshes.NO_VERSION]
+
+    def append(self, record: records.Record) -> None:
+        data = records.encode(record)
+        self.log.append(data)
+        self.oracle.apply_bytes(ids.Offset(len(self.log) - 1), data)
+        self.history.append(self.oracle.version)
+
+    @stateful.rule(
+        back=strategies.integers(0, 3),
+        service=strategies.sampled_from(["stock", "stock", "stock", "absent"]),
+        repeat=strategies.booleans(),
+    )
+    def publish(self, back, service, repeat):
+        """Publishes on the accepted version or an older one, maybe twice."""
+        self.published += 1
+        based_on = self.history[max(0, len(self.history) - 1 - back)]
+        record = bundles.publication(f"p{self.published}", based_on, service)
+        self.append(record)
+        if repeat:
+            self.append(record)
+
+    @stateful.rule()
+    def damage_record(self):
+        self.log.append(b"\x93damaged")
+        self.oracle.apply_bytes(ids.Offset(len(self.log) - 1), self.log[-1])
+        self.history.append(self.oracle.version)
+
+    @stateful.rule(host=hosts, limit=strategies.integers(1, 8))
+    def read(self, host, limit):
+        found = self.hosts[host]
+        acceptor = found.acceptor
+        acceptor.note_first(ids.Offset(self.first))
+        start = acceptor.next_offset
+        for offset in range(start, min(len(self.log), start + limit)):
+            acceptor.apply_bytes(ids.Offset(offset), self.log[offset])
+        if acceptor.version.number > found.holder.version.number:
+            found.put(acceptor.version, acceptor.raw)
+
+    @stateful.rule(host=hosts)
+    def checkpoint(self, host):
+        acceptor = self.hosts[host].acceptor
+        version, raw, as_of = acceptor.position
+        if not acceptor.gapped and version.number > 0:
+            self.append(
+                acceptance.make_checkpoint(version, raw, as_of, bundles.KEY)
+            )
+
+    @stateful.rule(keep=strategies.integers(0, 6))
+    def expire(self, keep):
+        """Drops records, but none that the last checkpoint leaves out."""
+        covered = 0
+        for data in self.log[self.first :]:
+            try:
+                record = records.decode(data)
+            except errors.LogError:
+                continue
+            if isinstance(record, records.Checkpoint):
+                covered = max(covered, record.as_of + 1)
+        self.first = max(self.first, min(covered, len(self.log) - keep))
+
+    @stateful.rule(host=hosts)
+    def restart(self, host):
+        self.hosts[host] = Host()
+
+    @stateful.rule(child=hosts, parent=hosts, damage=strategies.booleans())
+    def pull(self, child, parent, damage):
+        mine, other = self.hosts[child], self.hosts[parent]
+        answer = other.relay.pull(mine.holder.version)
+        if damage and answer.data:
+            data = bytearray(answer.data)
+            data[len(data) // 2] ^= 0x55
+            answer = answer._replace(data=bytes(data))
+        try:
+            raw = mine.relay.unpack(answer)
+        except errors.PeerError:
+            return
+        if raw is not None:
+            mine.put(answer.version, raw)
+
+    @stateful.invariant()
+    def same_history(self):
+        """G9: who has read the same records accepted the same version."""
+        for host in self.hosts:
+            acceptor = host.acceptor
+            if not acceptor.gapped:
+                want = self.history[acceptor.next_offset]
+                assert acceptor.version == want, "G9"
+
+    @stateful.invariant()
+    def whole_and_forward(self):
+        accepted = {v for v in self.history if v.number > 0}
+        for host in self.hosts:
+            assert host.seen == sorted(set(host.seen)), "G1"
+            current = host.holder.current
+            if current is None:
+                continue
+            assert meshes.digest(current.raw) == current.version.digest, "G3"
+            assert current.version in accepted, "G3"
+            view = views.merge(meshes.decode(current.raw), ids.SiteName("n1"))
+            assert current.view == view, "G3"
+            assert all(
+                route.service in current.view.services
+                for route in current.view.routes.values()
+            ), "G2"
+
+    def teardown(self):
+        for host in range(COUNT):
+            self.read(host, len(self.log) + 1)
+            if not self.hosts[host].acceptor.gapped:
+                assert self.hosts[host].holder.version == self.history[-1], "G9"
+
+
+TestVersions = VersionMachine.TestCase
+TestVersions.settings = hypothesis.settings(
+    hypothesis.settings.default, max_examples=100, stateful_step_count=40
+)
+
+
+def run_planted() -> str:
+    """Runs the machine and returns what it found."""
+    settings = hypothesis.settings(
+        max_examples=300,
+        stateful_step_count=40,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+    )
+    with pytest.raises(AssertionError) as raised:
+        stateful.run_state_machine_as_test(VersionMachine, settings=settings)
+    # A check of the teardown hides the one that failed before it.
+    first = raised.value.__context__ or raised.value
+    return str(first)
+
+
+def test_planted_step_back_is_found(monkeypatch):
+    """Planted fault for G1: a holder that takes any version."""
+
+    def apply(self, snapshot):
+        changed = snapshot.version != self.version
+        self.current = snapshot
+        return changed
+
+    monkeypatch.setattr(snapshots.SnapshotHolder, "apply", apply)
+    monkeypatch.setattr(relays.Relay, "pull", lambda self, held: _whole(self))
+    assert "G1" in run_planted()
+
+
+def _whole(relay: relays.Relay) -> relays.PullAnswer:
+    if relay.version.number == 0:
+        return relays.PullAnswer(relays.PullResult.CURRENT, relay.version)
+    return relay._make_answer(meshes.NO_VERSION)
+
+
+def test_planted_dangling_route_is_found(monkeypatch):
+    """Planted fault for G2: neither publisher nor daemon checks routes."""
+    monkeypatch.setattr(validation, "validate", lambda bundle: [])
+    monkeypatch.setattr(views, "check_closed", lambda view: [])
+    assert "G2" in run_planted()
+
+
+def test_planted_mixed_version_is_found(monkeypatch):
+    """Planted fault for G3: the bytes of one version under another's id."""
+    original = relays.Relay.pull
+
+    def pull(self, held):
+        answer = original(self, held)
+        number = ids.VersionNumber(answer.version.number + 1)
+        return answer._replace(
+            version=msgspec.structs.replace(answer.version, number=number)
+        )
+
+    monkeypatch.setattr(relays.Relay, "pull", pull)
+    assert "G3" in run_planted()
+
+
+def test_planted_checkpoint_that_covers_too_much_is_found(monkeypatch):
+    """Planted fault for G9: a checkpoint that skips an accepted record."""
+    original = acceptance.make_checkpoint
+
+    def make(version, raw, as_of, key):
+        return original(version, raw, ids.Offset(as_of + 1), key)
+
+    monkeypatch.setattr(acceptance, "make_checkpoint", make)
+    assert "G9" in run_planted()
