Add a random machine with a log that loses what nothing covers

After all records are lost, the highest version in force must survive on all daemons and the next publication must be accepted by all. Adds a planted fault for members that stay dead.

--- a/tests/matrix/test_machines.py
+++ b/tests/matrix/test_machines.py
@@ -14,6 +14,8 @@
 CONFIG = records.CONFIG_STREAM
 NAMES = ["n0", "n1", "n2", "n3", "n4", "f100", "f101"]
 SETTLE_S = 60.0
+# Twice the time until the second reader recovers a gap.
+RECOVER_S = 130.0
 names = strategies.sampled_from(NAMES)
 
 
@@ -141,20 +143,59 @@
             self.read()
             hypothesis.note(mesh.summary())
             assert mesh.run(SETTLE_S, mesh.all_known), mesh.summary()
-            self.read()
-            want = self.oracle.version
-
-            def agreed() -> bool:
-                return all(
-                    n.shared.holder.version == want and n.shared.holder.ready
-                    for n in mesh.nodes.values()
-                )
-
-            assert mesh.run(SETTLE_S, agreed), (want, mesh.summary())
+            self.check_versions()
         finally:
             self.patch.undo()
 
+    def check_versions(self):
+        self.read()
+        self.check_in_force(self.oracle.version, SETTLE_S)
+
+    def check_in_force(self, want, span_s):
+        nodes = self.mesh.nodes.values()
+
+        def agreed() -> bool:
+            return all(
+                n.shared.holder.version == want and n.shared.holder.ready
+                for n in nodes
+            )
+
+        assert self.mesh.run(span_s, agreed), (want, self.mesh.summary())
+
 
+class LossMachine(MeshMachine):
+    """The same with a log that drops records which nothing else covers."""
+
+    @stateful.rule()
+    def lose_all(self):
+        self.read()
+        self.mesh.log.expire(CONFIG, self.mesh.log.end(CONFIG))
+
+    def check_versions(self):
+        """The highest version in force survives, and the next is accepted."""
+        nodes = self.mesh.nodes.values()
+        versions = {n.shared.holder.version for n in nodes}
+        want = max(versions, key=lambda version: version.number)
+        if want.number == 0:
+            # Nobody is left who knows a version.
+            return
+        self.mesh.run(RECOVER_S)
+        held = {n.shared.holder.version for n in nodes}
+        assert len(held) == 1, self.mesh.summary()
+        found = held.pop()
+        assert found.number > want.number or found == want
+        self.mesh.publish(found)
+        number = found.number + 1
+        assert self.mesh.run(10, lambda: self.mesh.all_at(number)), (
+            found,
+            self.mesh.summary(),
+        )
+
+
+TestLoss = LossMachine.TestCase
+TestLoss.settings = hypothesis.settings(
+    hypothesis.settings.default, max_examples=20, stateful_step_count=25
+)
 TestMesh = MeshMachine.TestCase
 TestMesh.settings = hypothesis.settings(
     hypothesis.settings.default, stateful_step_count=25
--- a/tests/matrix/test_partitions.py
+++ b/tests/matrix/test_partitions.py
@@ -4,6 +4,7 @@
 from tests.fakes import meshes as fake_meshes
 
 from buckthorn_core import entries
+from buckthorn_core import membership
 from buckthorn_core import records
 
 CONTACTS = records.CONTACTS_STREAM
@@ -164,3 +165,15 @@
     assert mesh.run(45, merged), mesh.summary()
     # Each daemon keeps sight of its own half while the halves merge.
     assert min(least) >= 3, min(least)
+
+
+def test_member_that_does_not_refute_its_death_is_found(make_mesh, monkeypatch):
+    """Planted fault: a live member that stays dead fails the check."""
+    mesh = make_mesh(2)
+    monkeypatch.setattr(
+        membership.Membership, "_refute", lambda self, entry: None
+    )
+    mesh.freeze("n1")
+    mesh.run(10)
+    mesh.wake("n1")
+    assert not mesh.run(45, mesh.all_known)
