Move undecided claims out of the owner's module

The queue of claims and the learned time to a decision now have a module of their own; no change in what they do.

--- a/packages/core/buckthorn_core/operations.py
+++ b/packages/core/buckthorn_core/operations.py
@@ -17,6 +17,7 @@
 from buckthorn_core import ports
 from buckthorn_core import records
 from buckthorn_core import stream_starts
+from buckthorn_core import waiting_claims
 
 BATCH_S = 0.02
 # Ends of requests are in no hurry; most go along with a claim.
@@ -24,8 +25,6 @@
 APPEND_SPACING_S = 0.08
 REFRESH_S = 1.0
 ACTIVE_S = 30.0
-# A holder asks again long before this time has passed.
-FORGET_S = 5.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
 READ_AGAIN_S = 0.01
@@ -39,7 +38,6 @@
 MAX_SETTLED = 4_096
 MIN_POLL_MS = 5
 MAX_POLL_MS = 250
-SMOOTHING = 0.2
 
 
 class Read(NamedTuple):
@@ -60,27 +58,6 @@
     batch: claims.ClaimBatch
 
 
-class _Waiter:
-    """A claim that is not decided.
-
-    Attributes:
-        claim: The claim.
-        first_s: When it was made.
-        asked_s: When its holder last asked.
-        lost: Whether it is recorded and found the key taken.
-        failed: Whether it is given up because the log can't be read.
-    """
-
-    __slots__ = ("asked_s", "claim", "failed", "first_s", "lost")
-
-    def __init__(self, claim: claims.Claim, now_s: float):
-        self.claim = claim
-        self.first_s = now_s
-        self.asked_s = now_s
-        self.lost = False
-        self.failed = False
-
-
 class Owner:
     """Decides on the claims of a partition.
 
@@ -109,10 +86,7 @@
         self._daemon = daemon
         self._key = key
         self._rng = rng
-        self._waiting: dict[bytes, _Waiter] = {}
-        self._queue: collections.OrderedDict[bytes, float] = (
-            collections.OrderedDict()
-        )
+        self._waiting = waiting_claims.WaitingClaims()
         self._finals: dict[bytes, claims.Final] = {}
         self._finals_since_s = 0.0
         self._settled: collections.OrderedDict[bytes, None] = (
@@ -132,7 +106,6 @@
         self._failures = 0
         self._read_s = float("-inf")
         self._used_s = float("-inf")
-        self._decision_s = 2 * BATCH_S
 
     # Messages of holders.
 
@@ -143,11 +116,11 @@
         self._used_s = now_s
         waiter = self._waiting.get(claim.token)
         if waiter is not None and waiter.failed:
-            self._drop(claim.token)
+            self._waiting.drop(claim.token)
             return self._unavailable(now_s)
         answer = self._decide(claim, waiter, now_ms)
         if answer is not None:
-            self._drop(claim.token)
+            self._waiting.drop(claim.token)
             return answer
         if waiter is not None:
             waiter.asked_s = now_s
@@ -183,7 +156,8 @@
     @property
     def has_work(self) -> bool:
         """Whether a claim or an end of a request waits for the log."""
-        return bool(self._queue or self._finals or self._sent)
+        queued = self._waiting.queued_since_s is not None
+        return bool(queued or self._finals or self._sent)
 
     # Steps.
 
@@ -226,10 +200,8 @@
         self._failures += 1
         most_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(self._failures, 8))
         self._down_until_s = now_s + most_s * (0.5 + self._rng.random() / 2)
-        for waiter in self._waiting.values():
-            waiter.failed = True
-        self._queue.clear()
-        self._forget(now_s)
+        self._waiting.fail_all()
+        self._waiting.forget(now_s)
 
     def on_read(self, batch: ports.LogBatch, now_s: float) -> None:
         """Takes the records that were read."""
@@ -247,7 +219,7 @@
                 self._apply(record, now_s)
         if ledger.next_offset >= batch.end:
             self._at_end(now_s)
-        self._forget(now_s)
+        self._waiting.forget(now_s)
 
     def _search_start(
         self, batch: ports.LogBatch, search: stream_starts.StartSearch
@@ -284,33 +256,21 @@
         batch = self._decode(record.data)
         lost = self.ledger.apply(record.offset, record.time_ms, batch)
         for token in lost:
-            if token in self._waiting:
-                self._waiting[token].lost = True
+            self._waiting.note_lost(token)
         if batch is None:
             return
         for item in batch.items:
             if isinstance(item, claims.Final):
                 self._finals.pop(item.token, None)
                 self._settled[item.token] = None
-            elif self._queue.pop(item.token, None) is not None:
-                self._note_decision(item.token, now_s)
+            else:
+                self._waiting.note_recorded(item.token, now_s)
         while len(self._settled) > MAX_SETTLED:
             self._settled.popitem(last=False)
         if self._sent is not None and batch.id == self._sent.id:
             self._sent = None
             self._acknowledged = None
 
-    def _note_decision(self, token: bytes, now_s: float) -> None:
-        """Learns when holders should ask for a decision.
-
-        The time until a holder asked again would not do: it is at least the
-        time that it was told to wait, so that it could only grow.
-        """
-        waiter = self._waiting.get(token)
-        if waiter is not None:
-            spent_s = now_s - waiter.first_s
-            self._decision_s += SMOOTHING * (spent_s - self._decision_s)
-
     def _decode(self, data: bytes) -> claims.ClaimBatch | None:
         try:
             record = records.decode(data)
@@ -321,7 +281,10 @@
         return record if records.is_signed(record, self._key) else None
 
     def _decide(
-        self, claim: claims.Claim, waiter: _Waiter | None, now_ms: int
+        self,
+        claim: claims.Claim,
+        waiter: waiting_claims.Waiter | None,
+        now_ms: int,
     ) -> claims.Answer | None:
         if not self._loaded:
             return None
@@ -344,9 +307,8 @@
             return claims.Answer(
                 claims.Verdict.FULL, retry_ms=ledgers.MAX_RETRY_MS
             )
-        self._waiting[claim.token] = _Waiter(claim, now_s)
-        self._queue[claim.token] = now_s
-        poll_ms = int(self._decision_s * 1000)
+        self._waiting.add(claim, now_s)
+        poll_ms = int(self._waiting.decision_s * 1000)
         return claims.Answer(
             claims.Verdict.PENDING,
             retry_ms=max(MIN_POLL_MS, min(MAX_POLL_MS, poll_ms)),
@@ -359,32 +321,18 @@
             retry_ms=max(ledgers.MIN_RETRY_MS, wait_ms),
         )
 
-    def _drop(self, token: bytes) -> None:
-        self._waiting.pop(token, None)
-        self._queue.pop(token, None)
-
-    def _forget(self, now_s: float) -> None:
-        """Drops claims whose holders no longer ask."""
-        gone = [
-            token
-            for token, waiter in self._waiting.items()
-            if now_s - waiter.asked_s > FORGET_S
-        ]
-        for token in gone:
-            self._drop(token)
-
     def _batch_due(self, now_s: float) -> bool:
         if now_s < self._append_from_s:
             return False
-        if self._queue:
-            oldest_s = next(iter(self._queue.values()))
+        oldest_s = self._waiting.queued_since_s
+        if oldest_s is not None:
             return now_s >= oldest_s + BATCH_S
         return bool(self._finals) and (
             now_s >= self._finals_since_s + FINAL_WAIT_S
         )
 
     def _make_batch(self, now_s: float, now_ms: int) -> Append | None:
-        self._forget(now_s)
+        self._waiting.forget(now_s)
         items: list[claims.Claim | claims.Final] = []
         size = 0
         for final in self._finals.values():
@@ -392,15 +340,14 @@
             if size > MAX_BATCH_BYTES or len(items) >= MAX_ITEMS // 2:
                 break
             items.append(final)
-        for token in list(self._queue):
+        for claim in self._waiting.queued():
             if len(items) >= MAX_ITEMS:
                 break
-            claim = self._waiting[token].claim
             if self.ledger.look_up(claim, now_ms) is None:
                 items.append(claim)
             else:
                 # The stream has answered it while it waited.
-                self._queue.pop(token)
+                self._waiting.unqueue(claim.token)
         if not items:
             return None
         batch = claims.ClaimBatch(
