--- a/packages/daemon/buckthorn_daemon/gossiping.py
+++ b/packages/daemon/buckthorn_daemon/gossiping.py
@@ -1,5 +1,6 @@
 """Jobs and handlers of membership: gossip, probes, joining."""
 
+import threading
 import time
 
 from buckthorn_core import entries
@@ -20,6 +21,10 @@
 JOIN_TRIES = 3
 CONTACTS_READ = 64
 INDIRECT_TIMEOUT_S = 1.0
+REGIONS_S = 10.0
+# Fewer than the peer server's threads, so that a daemon that probes for
+# others still answers.
+MAX_PROBES = 2
 
 
 class Gossiper:
@@ -30,6 +35,7 @@
         self._log = log
         self._next_sync_s = 0.0
         self._join_wait_s = JOIN_MIN_S
+        self._probe_slots = threading.BoundedSemaphore(MAX_PROBES)
 
     def probe(self) -> None:
         """Exchanges gossip with the next member; this is also its probe."""
@@ -40,7 +46,11 @@
             if target is None:
                 return
             message = messages.Gossip(
-                shared.table.changes(), shared.table.digest()
+                [
+                    *shared.membership.reply_entries(target.id),
+                    *shared.table.changes(),
+                ],
+                shared.table.digest(),
             )
         try:
             envelope = shared.client.request(
@@ -49,7 +59,8 @@
                 timeout_s=membership.PROBE_TIMEOUT_S,
             )
         except errors.PeerError:
-            self._probe_indirectly(target)
+            if target.state not in entries.GONE:
+                self._probe_indirectly(target)
             return
         shared.note_peer(envelope)
         if isinstance(envelope.payload, messages.GossipReply):
@@ -82,8 +93,19 @@
     def on_probe_request(
         self, message: messages.ProbeRequest
     ) -> messages.ProbeReply:
-        """Probes a third daemon for another one."""
-        return messages.ProbeReply(self._is_alive(message.address))
+        """Probes a third daemon for another one.
+
+        Raises:
+            errors.PeerError: Too many probes run already.
+        """
+        if not self._probe_slots.acquire(blocking=False):
+            raise errors.PeerError(
+                errors.Code.PEER_UNAVAILABLE, "too many probes run"
+            )
+        try:
+            return messages.ProbeReply(self._is_alive(message.address))
+        finally:
+            self._probe_slots.release()
 
     def join(self) -> None:
         """Merges tables with members of the region that are not known yet.
@@ -95,11 +117,17 @@
         with shared.lock:
             known = {m.peer_address for m in shared.membership.members()}
             alone = len(known) < 2
-            searching = alone or shared.holds("contacts_writer")
+            joined = shared.joined
+            writes = shared.holds("contacts_writer")
+            searching = alone or writes or not joined
         if not searching:
             self._join_wait_s = REJOIN_S
             return
         unknown = [a for a in self._contact_addresses() if a not in known]
+        if not joined:
+            # Whoever spoke first may know little; its table shows the rest.
+            own = shared.cfg.peer_address
+            unknown.extend(sorted(a for a in known if a != own))
         for address in unknown[:JOIN_TRIES]:
             if self._merge_tables(address):
                 self._join_wait_s = JOIN_MIN_S
@@ -111,6 +139,14 @@
         """Returns the pause before the next attempt, with full jitter."""
         return JOIN_MIN_S + self._shared.rng.random() * self._join_wait_s
 
+    def refresh_regions(self) -> None:
+        """Looks for contacts in the log when regions do not answer."""
+        shared = self._shared
+        with shared.lock:
+            wanted = shared.is_first_relay() and shared.contacts.needs_log()
+        if wanted:
+            self._contact_addresses()
+
     def _merge_tables(self, address: ids.Address) -> bool:
         shared = self._shared
         with shared.lock:
@@ -124,6 +160,7 @@
             return False
         with shared.lock:
             shared.table.merge(envelope.payload.items)
+            shared.joined = True
         return True
 
     def _merge_reply(
@@ -207,6 +244,9 @@
         )
         with self._shared.lock:
             self._shared.table.put(entry)
+            self._shared.contacts.add_from_log(
+                contacts.region, contacts.remote_addresses, contacts.time_ms
+            )
 
 
 def read_contacts(log: ports.LogService) -> list[records.Contacts]:
--- a/packages/daemon/buckthorn_daemon/settings.py
+++ b/packages/daemon/buckthorn_daemon/settings.py
@@ -39,7 +39,8 @@
         seeds: Peer addresses to join at when the log can't be read.
         publish_key: Shared key that signs publications.
         peer_key: Shared key that authenticates daemons.
-        http_threads: Requests that are served at once.
+        http_threads: Requests that are served at once; at most half of them
+            are those of callers.
         choice_policy: Policy that chooses upstreams.
         log_poll_ms: Pause between reads of the log, in ms.
         checkpoint_s: Longest time between checkpoints, in seconds; less
@@ -48,6 +49,8 @@
             seconds. Under 1200, keyed requests may be refused after a
             change of owner.
         drain_min_s: Time for others to learn of a planned stop, in seconds.
+        burn_report_s: Shortest time between reports of counts of requests
+            to the parent, in seconds.
         structured_logs: Whether logs are JSON lines.
         log_level: Lowest level that is logged.
     """
@@ -73,6 +76,7 @@
     checkpoint_s: float = 600.0
     log_retention_s: float = 3600.0
     drain_min_s: float = 3.0
+    burn_report_s: float = 10.0
     structured_logs: bool = False
     log_level: str = "INFO"
 
@@ -92,6 +96,7 @@
     "checkpoint_s": (1, 86_400),
     "log_retention_s": (1, 31_536_000),
     "drain_min_s": (0, 600),
+    "burn_report_s": (0.1, 600),
 }
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -11,6 +11,7 @@
 from buckthorn_core import acceptance
 from buckthorn_core import acks
 from buckthorn_core import catchups
+from buckthorn_core import contactbooks
 from buckthorn_core import endpoints
 from buckthorn_core import entries
 from buckthorn_core import floors
@@ -19,6 +20,7 @@
 from buckthorn_core import membership
 from buckthorn_core import meshes
 from buckthorn_core import messages
+from buckthorn_core import quarantines
 from buckthorn_core import relays
 from buckthorn_core import roles
 from buckthorn_core import snapshots
@@ -26,6 +28,9 @@
 from buckthorn_daemon import settings
 
 NEVER_S = float("-inf")
+_KNOWS_VERSION = frozenset(
+    {entries.MemberState.UP, entries.MemberState.SUSPECT}
+)
 
 
 class State:
@@ -36,6 +41,8 @@
         lock: Guards the core objects below.
         confirmed_s: When a log reader last found the version in force to be
             the latest; local monotonic time.
+        joined: Whether this daemon has had a member's whole table.
+        contacts: Addresses of other regions.
         on_version: Called after another version came in force.
     """
 
@@ -52,14 +59,21 @@
             self._own_record(), self.table, self.rng
         )
         self.endpoints = endpoints.EndpointIndex(cfg.region, self.table)
+        self.quarantines = quarantines.Quarantines(self.table)
         self.relay = relays.Relay(compressors.ZstdDeltaCodec())
         self.acks = acks.AckTree(cfg.daemon_id, cfg.site)
         self.holder = snapshots.SnapshotHolder()
+        self.metrics.watch(
+            "buckthorn_version", lambda: self.holder.version.number
+        )
+        self.metrics.watch("buckthorn_ready", lambda: int(self.holder.ready))
         self.floors = floors.FloorSearch(cfg.site, self.started_s)
         self.acceptor = acceptance.Acceptor(
             cfg.publish_key.encode(), cfg.peer_key.encode()
         )
         self.catch_up = catchups.CatchUp()
+        self.contacts = contactbooks.ContactBook()
+        self.joined = False
         self.confirmed_s = NEVER_S
         self.on_version: list[Callable[[], None]] = []
         self.identity = peers.Identity(
@@ -132,6 +146,14 @@
         """Returns whether acknowledgements of the whole fleet end here."""
         return self.cfg.region == self.cfg.log_region and self.is_first_relay()
 
+    def region_address(self, region: ids.RegionName) -> ids.Address | None:
+        """Returns a peer address in another region, or None."""
+        entry = self.table.entries.get(f"r/{region}")
+        announced: list[ids.Address] = []
+        if isinstance(entry, entries.RegionContacts):
+            announced = entry.addresses
+        return self.contacts.choose(region, announced)
+
     def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Puts a version in force.
 
@@ -143,7 +165,6 @@
             if not self.holder.apply(snapshot):
                 return False
             self.relay.put(version, raw)
-        self.metrics.set("buckthorn_version", version.number)
         for listener in self.on_version:
             listener()
         return True
@@ -182,8 +203,11 @@
                 for member in self.membership.members()
                 if member.site == self.cfg.site
                 and member.id != self.cfg.daemon_id
-                and member.state is entries.MemberState.UP
+                and member.state in _KNOWS_VERSION
             )
+            if not self.joined:
+                # Members that are not known yet may be reachable.
+                reachable = max(reachable, floors.QUORUM)
             floor = self.floors.floor(reachable)
             if floor is None:
                 return
