--- a/packages/standins/buckthorn_standins/convergence.py
+++ b/packages/standins/buckthorn_standins/convergence.py
@@ -60,6 +60,25 @@
     }
 
 
+def byte_rate(mesh: fleet.Fleet, seconds: float) -> dict[str, float]:
+    """Returns control bytes a second by scope, over some seconds."""
+    before, started_s = control_bytes(mesh), time.monotonic()
+    time.sleep(seconds)
+    after, spent_s = control_bytes(mesh), time.monotonic() - started_s
+    return {scope: (after[scope] - before[scope]) / spent_s for scope in after}
+
+
+def settle(mesh: fleet.Fleet) -> None:
+    """Waits until the control bytes a second no longer fall."""
+    end_s = time.monotonic() + SETTLE_TIMEOUT_S
+    lowest = float("inf")
+    stable = 0
+    while stable < 2 and time.monotonic() < end_s:
+        rate = sum(byte_rate(mesh, SETTLE_PERIOD_S).values())
+        stable = stable + 1 if rate >= lowest * SETTLED_RATIO else 0
+        lowest = min(lowest, rate)
+
+
 def _upstream_count(daemons: int) -> int:
     """Returns upstreams for each service: as many as processes allow."""
     return 4 if daemons <= 12 else 1
@@ -94,8 +113,8 @@
     def run(self, changes: int, rest_s: float) -> Result:
         """Measures the rest first, then changes one after another."""
         count = len(self._mesh.instances)
-        self._settle()
-        rest = self._rate(rest_s)
+        settle(self._mesh)
+        rest = byte_rate(self._mesh, rest_s)
         before, started_s = control_bytes(self._mesh), time.monotonic()
         accepted = [self._change(count) for _ in range(changes)]
         time.sleep(PAUSE_S)
@@ -117,24 +136,6 @@
         }
         return Result(times, slowest, per_change, rest, missing)
 
-    def _settle(self) -> None:
-        end_s = time.monotonic() + SETTLE_TIMEOUT_S
-        lowest = float("inf")
-        stable = 0
-        while stable < 2 and time.monotonic() < end_s:
-            rate = sum(self._rate(SETTLE_PERIOD_S).values())
-            stable = stable + 1 if rate >= lowest * SETTLED_RATIO else 0
-            lowest = min(lowest, rate)
-
-    def _rate(self, rest_s: float) -> dict[str, float]:
-        before, started_s = control_bytes(self._mesh), time.monotonic()
-        time.sleep(rest_s)
-        after, spent_s = (
-            control_bytes(self._mesh),
-            time.monotonic() - started_s,
-        )
-        return {s: (after[s] - before[s]) / spent_s for s in after}
-
     def _change(self, count: int) -> publications.Accepted:
         time.sleep(PAUSE_S * (0.5 + self._rng.random()))
         accepted = self._publisher.publish_small_change()
--- a/packages/standins/buckthorn_standins/footprint.py
+++ b/packages/standins/buckthorn_standins/footprint.py
@@ -17,9 +17,6 @@
 
 SIZES = [6, 24, 60]
 SECONDS = 20.0
-# Members are news to each other for this long in a region of 60.
-SETTLE_S = 30.0
-CHURN_SETTLE_S = 12.0
 BUSY_PER_S = 100.0
 CHURN_SHARE_PER_S = 0.02
 
@@ -137,12 +134,12 @@
         others = [i for i in mesh.instances if i.name not in real.values()]
         source = announcers.Announcers(others, options.seed)
         source.start()
-        time.sleep(SETTLE_S)
+        convergence.settle(mesh)
         found = {"idle": _measure(mesh, seconds)}
         source.churn_per_s = CHURN_SHARE_PER_S * size
         found["churn"] = _measure(mesh, seconds)
         source.churn_per_s = 0.0
-        time.sleep(CHURN_SETTLE_S)
+        convergence.settle(mesh)
         found["busy"] = _busy(mesh, seconds, options.seed)
         source.close()
     return found
