--- a/packages/adapters/buckthorn_adapters/servers.py
+++ b/packages/adapters/buckthorn_adapters/servers.py
@@ -41,6 +41,8 @@
         body: The request's body.
         started: Whether the answer's headers have been sent.
         status: Status of the answer; 0 before it.
+        answer_headers: Headers of the answer, once it has started.
+        tap: Receives each piece of the answer's body before it is sent.
     """
 
     def __init__(self, req: Any):
@@ -59,6 +61,8 @@
         req.rfile = self.body
         self.started = False
         self.status = 0
+        self.answer_headers: list[tuple[str, str]] = []
+        self.tap: Callable[[bytes], None] | None = None
         self._finished = False
 
     @property
@@ -132,9 +136,10 @@
         req = self._req
         phrase = http.HTTPStatus(status).phrase if status in _STATUSES else ""
         req.status = f"{status} {phrase}".encode("latin-1")
+        self.answer_headers = list(headers)
         req.outheaders.extend(
             (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in headers
+            for name, value in self.answer_headers
         )
         if self.body.remaining:
             # What is left of the body is not worth reading; without this
@@ -148,6 +153,8 @@
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the answer's body."""
+        if self.tap is not None:
+            self.tap(data)
         if self.method != "HEAD":
             with self._lock:
                 self._req.write(data)
@@ -192,6 +199,10 @@
         headers = []
         if exc.trait.not_run:
             headers.append((NOT_RUN_HEADER, exc.code.value))
+        elif exc.code is errors.Code.ALREADY_COMPLETED:
+            headers.append((OUTCOME_HEADER, "completed"))
+        elif exc.code is errors.Code.IN_PROGRESS:
+            pass  # Retry-After says when the outcome may be known.
         elif exc.trait.http_status != 500:
             headers.append((OUTCOME_HEADER, "unknown"))
         if exc.retry_after_s is not None:
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -1,6 +1,8 @@
 """Local HTTP interface: announcements, status, metrics."""
 
 from collections.abc import Callable
+import time
+import urllib.parse
 
 import msgspec
 
@@ -8,9 +10,9 @@
 from buckthorn_core import errors
 from buckthorn_core import roles
 from buckthorn_core import traffic
+from buckthorn_daemon import burning
 from buckthorn_daemon import ingress
 from buckthorn_daemon import quarantining
-from buckthorn_daemon import relaying
 from buckthorn_daemon import state
 
 MAX_BODY_BYTES = 65_536
@@ -36,11 +38,11 @@
         self,
         shared: state.State,
         local: ingress.Ingress,
-        distributor: relaying.Distributor,
+        burner: burning.Burner,
     ):
         self.shared = shared
         self.local = local
-        self.distributor = distributor
+        self.burner = burner
 
     def handle(self, exchange: servers.Exchange) -> None:
         """Serves a request.
@@ -72,7 +74,6 @@
     shared = admin.shared
     with shared.lock:
         members = shared.membership.members()
-        eligible = shared.membership.eligible()
         document = {
             "daemon": shared.cfg.daemon_id,
             "region": shared.cfg.region,
@@ -81,9 +82,7 @@
             "version": shared.holder.version.number,
             "digest": shared.holder.version.digest,
             "members": len(members),
-            "roles": {
-                name: roles.holders(name, eligible) for name in roles.names()
-            },
+            "roles": {name: shared.holders(name) for name in roles.names()},
             "control_bytes": {
                 scope.value: shared.control.total(scope)
                 for scope in traffic.Scope
@@ -101,7 +100,8 @@
             ],
             "quarantined": shared.quarantines.refused(quarantining.now_ms()),
         }
-    below = admin.distributor.status()
+    with shared.lock:
+        below = shared.acks.total(shared.ready_version(), time.monotonic())
     document["below"] = {
         "counts": {str(k): v for k, v in below.counts.items()},
         "laggards": below.laggards,
@@ -109,6 +109,18 @@
     exchange.answer(200, msgspec.json.encode(document))
 
 
+@endpoint("GET", "/v1/burn")
+def _burn(admin: Admin, exchange: servers.Exchange) -> None:
+    query = urllib.parse.parse_qs(urllib.parse.urlsplit(exchange.path).query)
+    limit = query.get("limit", [str(burning.DEFAULT_LIMIT)])[0]
+    if not limit.isdecimal():
+        raise errors.RequestError(
+            errors.Code.BAD_REQUEST, "limit is not a number"
+        )
+    report = admin.burner.report(query.get("service", [""])[0], int(limit))
+    exchange.answer(200, msgspec.json.encode(report))
+
+
 @endpoint("GET", "/metrics")
 def _metrics(admin: Admin, exchange: servers.Exchange) -> None:
     exchange.answer(
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -9,15 +9,20 @@
 from buckthorn_adapters import peers
 from buckthorn_adapters import servers
 from buckthorn_core import entries
+from buckthorn_core import errors
 from buckthorn_core import messages
 from buckthorn_core import traffic
 from buckthorn_daemon import admin
+from buckthorn_daemon import burning
+from buckthorn_daemon import claiming
 from buckthorn_daemon import egress
 from buckthorn_daemon import gossiping
 from buckthorn_daemon import headers
 from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
+from buckthorn_daemon import owning
 from buckthorn_daemon import quarantining
+from buckthorn_daemon import querying
 from buckthorn_daemon import reading
 from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
@@ -50,9 +55,14 @@
         self._gossiper = gossiping.Gossiper(self.shared, self._log)
         self._distributor = relaying.Distributor(self.shared, self._reader)
         self._summariser = summarising.Summariser(self.shared)
+        self._burner = burning.Burner(self.shared)
         self._ingress = ingress.Ingress(self.shared)
-        self._egress = egress.Egress(self.shared)
-        self._admin = admin.Admin(self.shared, self._ingress, self._distributor)
+        self._owners = owning.Owners(self.shared, self._log)
+        self._claimer = claiming.Claimer(self.shared, self._owners)
+        self._egress = egress.Egress(
+            self.shared, self._claimer, self._burner.finished
+        )
+        self._admin = admin.Admin(self.shared, self._ingress, self._burner)
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
             self.shared.identity,
@@ -78,12 +88,16 @@
         add("checkpoint", 2.0, reader.checkpoint)
         add("contacts", self._contacts_wait_s, reader.write_contacts)
         add("summary", summarising.SUMMARY_S, self._summariser.run)
+        add("burn", self._burner.wait_s, self._burner.run)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
             "quarantine",
             quarantining.TICK_PERIOD_S,
             quarantining.Guard(self.shared).tick,
         )
+        add("finals", claiming.FLUSH_S, self._claimer.flush)
+        add("regions", gossiping.REGIONS_S, self._gossiper.refresh_regions)
+        add("catch_up", 0.5, distributor.catch_up)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
         self.shared.on_version.append(report.wake)
@@ -103,6 +117,7 @@
         self._peer_server.start()
         self._http.start()
         self._admin_http.start()
+        self._owners.start()
         self._ingress.start()
         self._scheduler.start()
         _logger.info("started", daemon=self._cfg.daemon_id)
@@ -119,6 +134,7 @@
         self._egress.stop_admitting()
         while not (self._ingress.idle and self._egress.idle):
             time.sleep(DRAIN_POLL_S)
+        self._claimer.drain()
         with self.shared.lock:
             self.shared.membership.update_me(state=entries.MemberState.LEFT)
         time.sleep(LEFT_GOSSIP_S)
@@ -127,6 +143,7 @@
     def close(self) -> None:
         """Stops everything at once."""
         self._scheduler.close()
+        self._owners.close()
         self._http.close()
         self._admin_http.close()
         self._peer_server.close()
@@ -141,10 +158,16 @@
         self._scheduler.submit(self._distributor.announce)
 
     def _on_request(self, exchange: servers.Exchange) -> None:
-        if headers.is_ingress(exchange):
-            self._ingress.handle(exchange)
-        else:
+        if not headers.is_ingress(exchange):
             self._egress.handle(exchange)
+            return
+        try:
+            self._ingress.handle(exchange)
+        except errors.BuckthornError as exc:
+            self.shared.metrics.count(
+                "buckthorn_ingress_errors", code=exc.code.value
+            )
+            raise
 
     def _on_message(self, envelope: messages.Envelope) -> messages.Payload:
         self.shared.note_peer(envelope)
@@ -163,7 +186,12 @@
             messages.Pull: lambda m, e: distributor.on_pull(m),
             messages.Report: distributor.on_report,
             messages.Summary: lambda m, e: self._summariser.on_summary(m),
-            messages.StatusQuery: lambda m, e: distributor.status(),
+            messages.StatusQuery: lambda m, e: querying.count(self.shared),
+            messages.Claim: self._owners.on_claim,
+            messages.Complete: self._owners.on_complete,
+            messages.BurnReport: self._burner.on_report,
+            messages.BurnQuery: lambda m, e: self._burner.on_query(m),
+            messages.BurnCopy: lambda m, e: self._burner.on_copy(),
         }
 
     def _on_announce(
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -1,16 +1,18 @@
 """Requests of callers: choice of an upstream, retries, relay of the answer."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 import threading
 import time
-from typing import Any
 
 import urllib3
 
 from buckthorn_adapters import bodies
 from buckthorn_adapters import servers
 from buckthorn_adapters import upstreams
+from buckthorn_core import attempts
+from buckthorn_core import burn
 from buckthorn_core import choices
 from buckthorn_core import endpoints
 from buckthorn_core import errors
@@ -20,9 +22,11 @@
 from buckthorn_core import quarantines
 from buckthorn_core import retries
 from buckthorn_core import snapshots
+from buckthorn_daemon import claiming
 from buckthorn_daemon import headers
 from buckthorn_daemon import quarantining
 from buckthorn_daemon import state
+from buckthorn_daemon import typed_answers
 
 # Daemons add some headers, which must fit into the next daemon's limit too.
 MAX_CALLER_HEADER_BYTES = servers.MAX_HEADER_BYTES - 1_024
@@ -39,6 +43,9 @@
         body_consumed: Whether bytes that can't be sent again have been sent.
         fingerprint: Recognises the request if it comes again.
         tried: Daemons that it was sent to.
+        expires_ms: When its claim expires, in ms since the epoch; None
+            without a claim.
+        last: The daemon that it was sent to last.
     """
 
     def __init__(
@@ -60,6 +67,8 @@
         self.body: bytes | None = None
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
+        self.expires_ms: int | None = None
+        self.last: ids.DaemonId | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -88,7 +97,11 @@
         )
 
     def pieces(self) -> Iterator[bytes]:
-        """Yields the pieces of a long body."""
+        """Yields the pieces of a long body.
+
+        Raises:
+            errors.RequestError: The body is cut short or too long.
+        """
         try:
             for piece in self.exchange.body.pieces():
                 self.body_consumed = True
@@ -105,8 +118,15 @@
 class Egress:
     """Sends callers' requests to daemons beside upstreams."""
 
-    def __init__(self, shared: state.State):
+    def __init__(
+        self,
+        shared: state.State,
+        claimer: claiming.Claimer,
+        on_finished: Callable[[Call | None, str, float], None],
+    ):
         self._shared = shared
+        self._claimer = claimer
+        self._on_finished = on_finished
         self._pools = upstreams.Pools()
         self._guard = quarantining.Guard(shared)
         self._observations = choices.Observations()
@@ -115,6 +135,10 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
+        # Callers' requests wait for other daemons' ingress, which runs on the
+        # same threads. If they held all threads of all daemons, none of them
+        # could go on.
+        self._most_running = max(1, shared.cfg.http_threads // 2)
         self._closed = False
 
     @property
@@ -140,11 +164,18 @@
         with self._lock:
             self._running += 1
         service = "none"
+        call = None
+        cause = burn.INTERNAL
         try:
             call = self._open(exchange)
             service = call.route.service
-            self._send(call)
+            self._claimer.run(call, lambda: self._send(call))
+            cause = burn.status_cause(exchange.status)
+        except OSError:
+            cause = burn.CALLER_GONE
+            raise
         except errors.BuckthornError as exc:
+            cause = exc.code.value
             self._shared.metrics.count(
                 "buckthorn_request_errors",
                 service=service,
@@ -154,18 +185,23 @@
         finally:
             with self._lock:
                 self._running -= 1
+            seconds = time.monotonic() - started_s
+            self._on_finished(call, cause, seconds)
             self._shared.metrics.record(
-                "buckthorn_request",
-                time.monotonic() - started_s,
-                service=service,
+                "buckthorn_request", seconds, service=service
             )
-            self._shared.metrics.count("buckthorn_requests", service=service)
 
     def _open(self, exchange: servers.Exchange) -> Call:
         if self._closed:
             raise errors.RequestError(
                 errors.Code.DRAINING, "this daemon is stopping", 1.0
             )
+        if self._running > self._most_running:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                f"{self._most_running} requests of callers run here",
+                1.0,
+            )
         snapshot = self._shared.holder.current
         if snapshot is None or not self._shared.holder.ready:
             raise errors.RequestError(
@@ -189,22 +225,21 @@
             )
             budget.add_request()
         tries = 0
-        ran: errors.RequestError | None = None
+        failed = attempts.Attempts()
         while True:
             try:
                 self._guard.check(call.fingerprint)
                 endpoint = self._choose(call)
                 call.tried.add(endpoint.daemon)
+                call.last = endpoint.daemon
                 self._try(call, endpoint)
                 return
             except errors.RequestError as exc:
                 if call.exchange.started:
                     raise
-                if not exc.trait.not_run:
-                    ran = exc
+                failed.note(exc)
                 if not self._goes_on(call, exc, tries, budget):
-                    # A refusal of this try does not unmake an earlier one.
-                    raise (ran or exc) from exc
+                    raise failed.outcome(exc) from exc
                 tries += 1
                 self._shared.metrics.count(
                     "buckthorn_retries", service=call.route.service
@@ -297,12 +332,16 @@
                 errors.Code.DEADLINE_PASSED, "the deadline has passed"
             )
         out = headers.for_ingress(
-            call.exchange, left_s, call.snapshot.version.number
+            call.exchange,
+            left_s,
+            call.snapshot.version.number,
+            call.expires_ms,
         )
         out[headers.SUSPICION] = self._guard.header(call.fingerprint)
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
         lease = self._pools.take(endpoint.address, not call.idempotent)
+        resp = None
         try:
             resp = lease.send(
                 call.exchange.method,
@@ -315,7 +354,7 @@
                 source=call.exchange.body if call.streams else None,
             )
             self._guard.learn(resp.headers)
-            self._raise_typed(resp)
+            typed_answers.raise_reported(resp)
             upstreams.relay_answer(
                 call.exchange, resp, headers.for_caller(resp.headers)
             )
@@ -324,7 +363,9 @@
                 errors.Code.PEER_UNAVAILABLE, str(exc), 1.0
             ) from exc
         except errors.BuckthornError as exc:
-            if exc.trait.not_run:
+            # Without an answer the request is sent in part only, and the
+            # connection can't be used again.
+            if exc.trait.not_run and resp is not None:
                 lease.release()
             else:
                 lease.discard()
@@ -343,28 +384,3 @@
             ) from exc
         lease.release()
         self._guard.complete(call.fingerprint)
-
-    def _raise_typed(self, resp: Any) -> None:
-        code = resp.headers.get(servers.NOT_RUN_HEADER)
-        if code is None:
-            self._raise_unknown(resp)
-            return
-        text = resp.read(decode_content=False).decode("utf-8", "replace")
-        retry_after = resp.headers.get("Retry-After")
-        raise errors.RequestError(
-            errors.code_of(code),
-            text.strip(),
-            float(retry_after) if retry_after else None,
-        )
-
-    def _raise_unknown(self, resp: Any) -> None:
-        """Raises what the other daemon says of a request that may have run.
-
-        Only a failed connection to the upstream, or a body that the other
-        daemon did not receive whole, lets an idempotent request try another
-        one; other answers are passed on as they are.
-        """
-        failed = resp.status in (400, 502)
-        if servers.OUTCOME_HEADER in resp.headers and failed:
-            text = resp.read(decode_content=False).decode("utf-8", "replace")
-            raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -102,9 +102,11 @@
             self._set_limits(upstream)
             if upstream == self._upstream:
                 return
-            self._upstream = upstream
+            before, self._upstream = self._upstream, upstream
             if upstream.state is entries.UpstreamState.DRAINING:
                 self._refuse_waiting()
+        if before is None:
+            _logger.info("upstream_found", service=upstream.service)
         self._publish(upstream)
 
     def check_upstream(self) -> None:
@@ -257,6 +259,8 @@
             raise errors.RequestError(
                 errors.Code.DEADLINE_PASSED, "the deadline has passed"
             )
+        # The claim may have expired while the request waited for a slot.
+        headers.check_expiry(exchange, time.time())
         address = ids.Address(f"127.0.0.1:{upstream.port}")
         lease = self._pools.take(address, proven=True)
         self._in_progress[exchange] = lease
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -3,7 +3,6 @@
 import time
 
 from buckthorn_core import acks
-from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import meshes
@@ -16,7 +15,6 @@
 REPORT_S = 2.0
 FAST_REPORT_S = 0.2
 BUSY_RETRY_MS = 100
-MAX_CONTACT_TRIES = 3
 
 
 class Distributor:
@@ -25,7 +23,6 @@
     def __init__(self, shared: state.State, reader: reading.LogReader):
         self._shared = shared
         self._reader = reader
-        self._region_try = 0
         self._remote_children: dict[ids.DaemonId, ids.Address] = {}
 
     # Upwards: this daemon and its parent.
@@ -43,23 +40,26 @@
         shared = self._shared
         shared.update_floor()
         parent = self._parent()
+        with shared.lock:
+            shared.acks.note_root(shared.is_root(), time.monotonic())
         if parent is None:
             return
         address, scope = parent
         with shared.lock:
             total = shared.acks.total(shared.ready_version(), time.monotonic())
-            message = messages.Report(
-                shared.holder.version, total.counts, total.laggards
-            )
+            message = messages.Report(shared.holder.version, *total)
         sent_s = time.monotonic()
         try:
             envelope = shared.client.request(address, message, scope)
         except errors.PeerError:
-            # Another daemon of the log's region may be reachable.
-            self._region_try += 1
+            if scope is traffic.Scope.REGION:
+                with shared.lock:
+                    shared.contacts.failed(shared.cfg.log_region)
             raise
         if scope is traffic.Scope.REGION:
             self._reader.upstream_region_seen_s = time.monotonic()
+            with shared.lock:
+                shared.contacts.answered(shared.cfg.log_region)
         shared.note_peer(envelope)
         reply = envelope.payload
         if not isinstance(reply, messages.ReportReply):
@@ -73,6 +73,22 @@
             shared.confirm(sent_s - reply.confirmed_ms / 1000)
         shared.update_floor()
 
+    def catch_up(self) -> None:
+        """Pulls from a peer that is ahead when the parent does not deliver.
+
+        Raises:
+            errors.PeerError: The peer did not answer or sent damaged data.
+            errors.ConfigError: The version is not whole and closed.
+        """
+        shared = self._shared
+        with shared.lock:
+            source = shared.catch_up.next(
+                shared.holder.version.number, time.monotonic()
+            )
+        if source is not None:
+            shared.metrics.count("buckthorn_catch_ups")
+            self.pull(source.address, source.scope)
+
     def pull(self, address: ids.Address, scope: traffic.Scope) -> None:
         """Pulls the current version of a peer and puts it in force.
 
@@ -127,15 +143,8 @@
                 return member.peer_address, traffic.Scope.LOCAL
             if shared.cfg.region == shared.cfg.log_region:
                 return None
-            contacts = shared.table.entries.get(f"r/{shared.cfg.log_region}")
-        if not isinstance(contacts, entries.RegionContacts):
-            return None
-        if not contacts.addresses:
-            return None
-        index = self._region_try % min(
-            MAX_CONTACT_TRIES, len(contacts.addresses)
-        )
-        return contacts.addresses[index], traffic.Scope.REGION
+            address = shared.region_address(shared.cfg.log_region)
+        return None if address is None else (address, traffic.Scope.REGION)
 
     # Downwards: this daemon and its children.
 
@@ -180,7 +189,7 @@
                 self._remote_children[envelope.sender] = envelope.address
             shared.acks.add(
                 envelope.sender,
-                acks.Tally(message.counts, message.laggards),
+                acks.Tally(message.counts, message.laggards, message.sites),
                 now_s,
             )
             age_ms = -1
@@ -201,12 +210,3 @@
             answer.data,
             BUSY_RETRY_MS if answer.result is relays.PullResult.BUSY else 0,
         )
-
-    def status(self) -> messages.StatusReply:
-        """Returns the versions in force on this daemon and below."""
-        shared = self._shared
-        with shared.lock:
-            total = shared.acks.total(shared.ready_version(), time.monotonic())
-            return messages.StatusReply(
-                shared.holder.version, total.counts, total.laggards
-            )
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -10,6 +10,8 @@
 from buckthorn_adapters import peers
 from buckthorn_core import acceptance
 from buckthorn_core import acks
+from buckthorn_core import catchups
+from buckthorn_core import contactbooks
 from buckthorn_core import endpoints
 from buckthorn_core import entries
 from buckthorn_core import floors
@@ -26,6 +28,9 @@
 from buckthorn_daemon import settings
 
 NEVER_S = float("-inf")
+_KNOWS_VERSION = frozenset(
+    {entries.MemberState.UP, entries.MemberState.SUSPECT}
+)
 
 
 class State:
@@ -36,6 +41,8 @@
         lock: Guards the core objects below.
         confirmed_s: When a log reader last found the version in force to be
             the latest; local monotonic time.
+        joined: Whether this daemon has had a member's whole table.
+        contacts: Addresses of other regions.
         on_version: Called after another version came in force.
     """
 
@@ -54,12 +61,19 @@
         self.endpoints = endpoints.EndpointIndex(cfg.region, self.table)
         self.quarantines = quarantines.Quarantines(self.table)
         self.relay = relays.Relay(compressors.ZstdDeltaCodec())
-        self.acks = acks.AckTree(cfg.daemon_id)
+        self.acks = acks.AckTree(cfg.daemon_id, cfg.site)
         self.holder = snapshots.SnapshotHolder()
+        self.metrics.watch(
+            "buckthorn_version", lambda: self.holder.version.number
+        )
+        self.metrics.watch("buckthorn_ready", lambda: int(self.holder.ready))
         self.floors = floors.FloorSearch(cfg.site, self.started_s)
         self.acceptor = acceptance.Acceptor(
             cfg.publish_key.encode(), cfg.peer_key.encode()
         )
+        self.catch_up = catchups.CatchUp()
+        self.contacts = contactbooks.ContactBook()
+        self.joined = False
         self.confirmed_s = NEVER_S
         self.on_version: list[Callable[[], None]] = []
         self.identity = peers.Identity(
@@ -72,8 +86,9 @@
             version=self.ready_version,
         )
         self.client = peers.PeerClient(self.identity, self.control)
-        self._tree: roles.Tree | None = None
-        self._tree_members: list[ids.DaemonId] = []
+        self._tree = roles.Tree([])
+        self._holders: dict[str, list[ids.DaemonId]] = {}
+        self._role_members: list[ids.DaemonId] = []
 
     def _own_record(self) -> entries.Member:
         cfg = self.cfg
@@ -98,21 +113,47 @@
 
     def tree(self) -> roles.Tree:
         """Returns the distribution tree of the live members."""
-        members = self.membership.eligible()
-        if self._tree is None or self._tree_members != members:
-            self._tree = roles.Tree(members)
-            self._tree_members = members
+        self._refresh_roles()
         return self._tree
 
+    def holders(self, role: str) -> list[ids.DaemonId]:
+        """Returns the holders of a role in this region."""
+        self._refresh_roles()
+        found = self._holders.get(role)
+        if found is None:
+            found = roles.holders(role, self.membership.eligible())
+            self._holders[role] = found
+        return found
+
     def holds(self, role: str) -> bool:
         """Returns whether this daemon holds a role in its region."""
+        return self.cfg.daemon_id in self.holders(role)
+
+    def _refresh_roles(self) -> None:
+        # Ranking hashes every member's id: at 3,000 members that is 3 ms,
+        # too much to repeat at each read of the log.
         members = self.membership.eligible()
-        return self.cfg.daemon_id in roles.holders(role, members)
+        if self._role_members is not members:
+            self._role_members = members
+            self._tree = roles.Tree(members)
+            self._holders = {}
 
     def is_first_relay(self) -> bool:
         """Returns whether this daemon is the first relay of its region."""
         return self.tree().relays[:1] == [self.cfg.daemon_id]
 
+    def is_root(self) -> bool:
+        """Returns whether acknowledgements of the whole fleet end here."""
+        return self.cfg.region == self.cfg.log_region and self.is_first_relay()
+
+    def region_address(self, region: ids.RegionName) -> ids.Address | None:
+        """Returns a peer address in another region, or None."""
+        entry = self.table.entries.get(f"r/{region}")
+        announced: list[ids.Address] = []
+        if isinstance(entry, entries.RegionContacts):
+            announced = entry.addresses
+        return self.contacts.choose(region, announced)
+
     def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Puts a version in force.
 
@@ -124,18 +165,27 @@
             if not self.holder.apply(snapshot):
                 return False
             self.relay.put(version, raw)
-        self.metrics.set("buckthorn_version", version.number)
         for listener in self.on_version:
             listener()
         return True
 
     def note_peer(self, envelope: messages.Envelope) -> None:
         """Learns from the version that a message carries."""
+        if envelope.version <= 0:
+            return
+        local = envelope.region == self.cfg.region
+        source = catchups.Source(
+            envelope.address,
+            traffic.Scope.LOCAL if local else traffic.Scope.REGION,
+            envelope.version,
+        )
         with self.lock:
-            if envelope.version > 0:
-                self.floors.add_answer(
-                    envelope.sender, envelope.site, envelope.version
-                )
+            self.floors.add_answer(
+                envelope.sender, envelope.site, envelope.version
+            )
+            self.catch_up.note(
+                source, self.holder.version.number, time.monotonic()
+            )
 
     def confirm(self, confirmed_s: float) -> None:
         """Notes that the version in force was the log's latest."""
@@ -153,8 +203,11 @@
                 for member in self.membership.members()
                 if member.site == self.cfg.site
                 and member.id != self.cfg.daemon_id
-                and member.state is entries.MemberState.UP
+                and member.state in _KNOWS_VERSION
             )
+            if not self.joined:
+                # Members that are not known yet may be reachable.
+                reachable = max(reachable, floors.QUORUM)
             floor = self.floors.floor(reachable)
             if floor is None:
                 return
--- a/packages/standins/buckthorn_standins/upstream.py
+++ b/packages/standins/buckthorn_standins/upstream.py
@@ -27,6 +27,9 @@
 _CONNECTIONS = flags.DEFINE_integer("connections", 64, "Connections taken.")
 _SERVICE_MS = flags.DEFINE_float("service_ms", 2.0, "Time of a request.")
 _RECORD = flags.DEFINE_string("record", "", "File for the records.")
+_LINGER_S = flags.DEFINE_float(
+    "linger_s", 0.0, "Time between announcing the end and the end."
+)
 
 ANNOUNCE_S = 1.0
 PIECE_BYTES = 65_536
@@ -72,17 +75,11 @@
             )
             self.faults = msgspec.json.decode(body, type=Faults)
             return _answer(start_response, "200 OK", {})
+        if _has_expired(environ):
+            return _refuse(start_response, "claim_expired")
         with self._lock:
             if self.faults.shed or self._running >= _SLOTS.value:
-                start_response(
-                    "503 Service Unavailable",
-                    [
-                        ("Buckthorn-Not-Run", "upstream_shed"),
-                        ("Retry-After", "1"),
-                        ("Content-Length", "0"),
-                    ],
-                )
-                return [b""]
+                return _refuse(start_response, "upstream_shed")
             self._running += 1
         try:
             return self._run(environ, start_response)
@@ -133,6 +130,24 @@
         }
 
 
+def _has_expired(environ: dict[str, Any]) -> bool:
+    """Returns whether the claim of the request's operation key is over."""
+    expires = environ.get("HTTP_BUCKTHORN_EXPIRES")
+    return expires is not None and time.time() * 1000 >= int(expires)
+
+
+def _refuse(start_response: Any, code: str) -> list[bytes]:
+    start_response(
+        "503 Service Unavailable",
+        [
+            ("Buckthorn-Not-Run", code),
+            ("Retry-After", "1"),
+            ("Content-Length", "0"),
+        ],
+    )
+    return [b""]
+
+
 def _answer(start_response: Any, status: str, document: Any) -> list[bytes]:
     body = json.dumps(document).encode()
     start_response(
@@ -192,7 +207,11 @@
     while not stop.wait(ANNOUNCE_S):
         _announce(upstream, pool)
     upstream.draining = True
+    end_s = time.monotonic() + _LINGER_S.value
     _announce(upstream, pool)
+    while (left_s := end_s - time.monotonic()) > 0:
+        time.sleep(min(ANNOUNCE_S, left_s))
+        _announce(upstream, pool)
     while upstream.running:
         time.sleep(0.05)
     server.shutdown_timeout = 1
--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -23,6 +23,14 @@
 Script = Callable[[socket.socket, bytes], None]
 
 
+class _NoClaims:
+    """Requests of these tests have no operation key."""
+
+    def run(self, call, send):
+        del call
+        send()
+
+
 class SocketServer:
     """Runs a script for each connection, after its first bytes."""
 
@@ -98,7 +106,9 @@
     def __init__(self) -> None:
         self.sender = make_state("sender")
         self.beside = make_state("beside")
-        self.egress = egress.Egress(self.sender)
+        self.egress = egress.Egress(
+            self.sender, _NoClaims(), lambda call, cause, seconds: None
+        )
         self.ingress = ingress.Ingress(self.beside)
         self.ingress.start()
         self._front = self._serve(self.egress.handle)
