--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -20,12 +20,6 @@
     "buckthorn_catch_ups": "Versions pulled after a peer was seen to be ahead",
     "buckthorn_claim": "Duration of claims of operation keys",
     "buckthorn_claims": "Claims of operation keys, by verdict",
-    "buckthorn_finals_dropped": (
-        "Ends of claimed requests that were not reported to the owner"
-    ),
-    "buckthorn_operation_read_failures": (
-        "Failed reads of an operations stream"
-    ),
     "buckthorn_checkpoints": "Checkpoints written to the log",
     "buckthorn_contacts_read_failures": (
         "Failed reads of contacts from the log"
@@ -37,11 +31,19 @@
         "Control bytes sent inside the region (local) and to other regions"
         " (region)"
     ),
+    "buckthorn_finals_dropped": (
+        "Outcomes of claimed requests that were dropped before the owner of"
+        " their key recorded them"
+    ),
     "buckthorn_ingress_errors": (
         "Requests for the upstream beside this daemon that were refused or"
         " failed, by code"
     ),
     "buckthorn_log_records": "Records read from the log, by verdict",
+    "buckthorn_operation_appends": ("Appends of claims to the log, by result"),
+    "buckthorn_operation_read_failures": (
+        "Failed reads of claims from the log"
+    ),
     "buckthorn_pulls": "Pulls of versions by other daemons, by result",
     "buckthorn_ready": "1 when callers are served, 0 while they are refused",
     "buckthorn_request": "Duration of callers' requests, by service",
