--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -5,7 +5,6 @@
 import random
 import threading
 import time
-from typing import Any
 
 import urllib3
 
@@ -28,6 +27,7 @@
 from buckthorn_daemon import quarantining
 from buckthorn_daemon import settings
 from buckthorn_daemon import state
+from buckthorn_daemon import typed_answers
 
 # Daemons add some headers, which must fit into the next daemon's limit too.
 MAX_CALLER_HEADER_BYTES = servers.MAX_HEADER_BYTES - 1_024
@@ -354,7 +354,7 @@
                 source=call.exchange.body if call.streams else None,
             )
             self._guard.learn(resp.headers)
-            self._raise_typed(resp)
+            typed_answers.raise_reported(resp)
             upstreams.relay_answer(
                 call.exchange, resp, headers.for_caller(resp.headers)
             )
@@ -384,28 +384,3 @@
             ) from exc
         lease.release()
         self._guard.complete(call.fingerprint)
-
-    def _raise_typed(self, resp: Any) -> None:
-        code = resp.headers.get(servers.NOT_RUN_HEADER)
-        if code is None:
-            self._raise_unknown(resp)
-            return
-        text = resp.read(decode_content=False).decode("utf-8", "replace")
-        retry_after = resp.headers.get("Retry-After")
-        raise errors.RequestError(
-            errors.code_of(code),
-            text.strip(),
-            float(retry_after) if retry_after else None,
-        )
-
-    def _raise_unknown(self, resp: Any) -> None:
-        """Raises what the other daemon says of a request that may have run.
-
-        Only a failed connection to the upstream, or a body that the other
-        daemon did not receive whole, lets an idempotent request try another
-        one; other answers are passed on as they are.
-        """
-        failed = resp.status in (400, 502)
-        if servers.OUTCOME_HEADER in resp.headers and failed:
-            text = resp.read(decode_content=False).decode("utf-8", "replace")
-            raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
