--- a/packages/adapters/buckthorn_adapters/metrics.py
+++ b/packages/adapters/buckthorn_adapters/metrics.py
@@ -1,24 +1,22 @@
 """Counters, gauges and duration summaries, and their text exposition."""
 
-import array
-import bisect
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import threading
 from typing import Any
 
+from hdrh import histogram
+
 from buckthorn_adapters import metric_names
 from buckthorn_core import traffic
 
-# Bounds of duration buckets, 20 a decade from 10 us to 1,000 s: a quantile
-# is at most 6% off. The 160 counts take 1.3 KB a label set; an HdrHistogram
-# of 2 digits takes 25 KB, which is 20 MB for 780 services.
-BUCKETS_PER_DECADE = 20
-BOUNDS_S = [
-    1e-5 * 10 ** (index / BUCKETS_PER_DECADE)
-    for index in range(8 * BUCKETS_PER_DECADE)
-]
+# One significant digit in counts of 4 bytes takes 2.5 KB a label set, and a
+# quantile is at most 6% off; two digits in 8 bytes take 26 KB, which is 20 MB
+# for 780 services.
+SIGNIFICANT_DIGITS = 1
+WORD_BYTES = 4
+MAX_DURATION_US = 3_600_000_000
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 Labels = tuple[tuple[str, str], ...]
@@ -26,42 +24,35 @@
 
 
 class Durations:
-    """Durations of one label set, counted in buckets of equal ratio."""
+    """Durations of one label set."""
 
-    __slots__ = ("count", "counts", "sum_s")
+    __slots__ = ("_histogram", "sum_s")
 
     def __init__(self) -> None:
-        self.counts = array.array("Q", bytes(8 * (len(BOUNDS_S) + 1)))
-        self.count = 0
+        self._histogram = histogram.HdrHistogram(
+            1, MAX_DURATION_US, SIGNIFICANT_DIGITS, word_size=WORD_BYTES
+        )
         self.sum_s = 0.0
 
+    @property
+    def count(self) -> int:
+        """Number of durations."""
+        return int(self._histogram.get_total_count())
+
     def add(self, seconds: float) -> None:
         """Counts a duration."""
-        self.counts[bisect.bisect_left(BOUNDS_S, seconds)] += 1
-        self.count += 1
+        value_us = max(1, min(MAX_DURATION_US, int(seconds * 1e6)))
+        self._histogram.record_value(value_us)
         self.sum_s += seconds
 
     def quantiles(self) -> list[float]:
         """Returns the durations in s at `QUANTILES`; zeros if empty."""
-        found = []
-        for quantile in QUANTILES:
-            rank = quantile * self.count
-            below = 0
-            for index, count in enumerate(self.counts):
-                below += count
-                if below >= rank and count:
-                    found.append(_middle_s(index))
-                    break
-            else:
-                found.append(0.0)
-        return found
-
-
-def _middle_s(index: int) -> float:
-    """Returns the geometric middle of a bucket."""
-    if index >= len(BOUNDS_S):
-        return BOUNDS_S[-1]
-    return BOUNDS_S[index] * 10 ** (-0.5 / BUCKETS_PER_DECADE)
+        if not self.count:
+            return [0.0] * len(QUANTILES)
+        return [
+            self._histogram.get_value_at_percentile(q * 100) / 1e6
+            for q in QUANTILES
+        ]
 
 
 class Metrics:
--- a/packages/daemon/buckthorn_daemon/admin.py
+++ b/packages/daemon/buckthorn_daemon/admin.py
@@ -12,6 +12,7 @@
 from buckthorn_core import traffic
 from buckthorn_daemon import burning
 from buckthorn_daemon import ingress
+from buckthorn_daemon import quarantining
 from buckthorn_daemon import state
 
 MAX_BODY_BYTES = 65_536
@@ -97,6 +98,7 @@
                 }
                 for member in members
             ],
+            "quarantined": shared.quarantines.refused(quarantining.now_ms()),
         }
     with shared.lock:
         below = shared.acks.total(shared.ready_version(), time.monotonic())
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -96,6 +96,7 @@
             quarantining.Guard(self.shared).tick,
         )
         add("finals", claiming.FLUSH_S, self._claimer.flush)
+        add("regions", gossiping.REGIONS_S, self._gossiper.refresh_regions)
         add("catch_up", 0.5, distributor.catch_up)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -43,9 +43,9 @@
         body_consumed: Whether bytes that can't be sent again have been sent.
         fingerprint: Recognises the request if it comes again.
         tried: Daemons that it was sent to.
-        last: The daemon that it was sent to last.
         expires_ms: When its claim expires, in ms since the epoch; None
             without a claim.
+        last: The daemon that it was sent to last.
     """
 
     def __init__(
@@ -67,8 +67,8 @@
         self.body: bytes | None = None
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
-        self.last: ids.DaemonId | None = None
         self.expires_ms: int | None = None
+        self.last: ids.DaemonId | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -97,7 +97,11 @@
         )
 
     def pieces(self) -> Iterator[bytes]:
-        """Yields the pieces of a long body."""
+        """Yields the pieces of a long body.
+
+        Raises:
+            errors.RequestError: The body is cut short or too long.
+        """
         try:
             for piece in self.exchange.body.pieces():
                 self.body_consumed = True
@@ -118,9 +122,7 @@
         self,
         shared: state.State,
         claimer: claiming.Claimer,
-        on_finished: Callable[[Call | None, str, float], None] = (
-            lambda call, cause, seconds: None
-        ),
+        on_finished: Callable[[Call | None, str, float], None],
     ):
         self._shared = shared
         self._claimer = claimer
@@ -133,6 +135,10 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
+        # Callers' requests wait for other daemons' ingress, which runs on the
+        # same threads. If they held all threads of all daemons, none of them
+        # could go on.
+        self._most_running = max(1, shared.cfg.http_threads // 2)
         self._closed = False
 
     @property
@@ -190,6 +196,12 @@
             raise errors.RequestError(
                 errors.Code.DRAINING, "this daemon is stopping", 1.0
             )
+        if self._running > self._most_running:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                f"{self._most_running} requests of callers run here",
+                1.0,
+            )
         snapshot = self._shared.holder.current
         if snapshot is None or not self._shared.holder.ready:
             raise errors.RequestError(
@@ -329,6 +341,7 @@
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
         lease = self._pools.take(endpoint.address, not call.idempotent)
+        resp = None
         try:
             resp = lease.send(
                 call.exchange.method,
@@ -350,7 +363,9 @@
                 errors.Code.PEER_UNAVAILABLE, str(exc), 1.0
             ) from exc
         except errors.BuckthornError as exc:
-            if exc.trait.not_run:
+            # Without an answer the request is sent in part only, and the
+            # connection can't be used again.
+            if exc.trait.not_run and resp is not None:
                 lease.release()
             else:
                 lease.discard()
@@ -386,9 +401,11 @@
     def _raise_unknown(self, resp: Any) -> None:
         """Raises what the other daemon says of a request that may have run.
 
-        Only a failed connection to the upstream lets an idempotent request
-        try another one; other answers are passed on as they are.
+        Only a failed connection to the upstream, or a body that the other
+        daemon did not receive whole, lets an idempotent request try another
+        one; other answers are passed on as they are.
         """
-        if servers.OUTCOME_HEADER in resp.headers and resp.status == 502:
+        failed = resp.status in (400, 502)
+        if servers.OUTCOME_HEADER in resp.headers and failed:
             text = resp.read(decode_content=False).decode("utf-8", "replace")
             raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
--- a/tests/adapters/test_metrics.py
+++ b/tests/adapters/test_metrics.py
@@ -67,11 +67,12 @@
 
 
 def test_extreme_durations_are_counted():
-    """Guards against an index outside the buckets."""
+    """Guards against a duration outside the histogram's range."""
     found = metrics.Durations()
     for value in (-1.0, 0.0, 1e-9, 1e9):
         found.add(value)
-    assert found.count == sum(found.counts) == 4
+    assert found.count == 4
+    assert 0 < found.quantiles()[0] < found.quantiles()[-1]
 
 
 def test_first_names_have_help():
--- a/tests/docs/test_logs_and_metrics.py
+++ b/tests/docs/test_logs_and_metrics.py
@@ -45,11 +45,12 @@
 def test_metrics_are_listed():
     """Guards against a metric without help text, or an outdated one."""
     meters = re.compile(r"(^|\.)(count|record|set|watch)$")
-    found = {
-        name
-        for called, name in calls()
-        if meters.search(called) and str(name).startswith("buckthorn_")
-    }
+    metered = [
+        (called, name) for called, name in calls() if meters.search(called)
+    ]
+    found = {n for _, n in metered if str(n).startswith("buckthorn_")}
+    passed = {n for called, n in metered if "metrics." in called}
+    assert passed <= found, "metric names are constants"
     made = {name for name in metric_names.HELP if "_control_" in name}
     assert found | made == set(metric_names.HELP)
     shown = set()
