--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -26,6 +26,7 @@
 from buckthorn_daemon import claiming
 from buckthorn_daemon import headers
 from buckthorn_daemon import quarantining
+from buckthorn_daemon import settings
 from buckthorn_daemon import state
 
 # Daemons add some headers, which must fit into the next daemon's limit too.
@@ -122,7 +123,9 @@
         self,
         shared: state.State,
         claimer: claiming.Claimer,
-        on_finished: Callable[[Call | None, str, float], None],
+        on_finished: Callable[[Call | None, str, float], None] = (
+            lambda call, cause, seconds: None
+        ),
     ):
         self._shared = shared
         self._claimer = claimer
@@ -135,10 +138,7 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
-        # Callers' requests wait for other daemons' ingress, which runs on the
-        # same threads. If they held all threads of all daemons, none of them
-        # could go on.
-        self._most_running = max(1, shared.cfg.http_threads // 2)
+        self._most_running = settings.thread_share(shared.cfg.http_threads)
         self._closed = False
 
     @property
