--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -1,36 +1,19 @@
 """Daemons wired as in production, on a fake clock, log and channel."""
 
 import random
+import sys
 
 from buckthorn_core import entries
 from buckthorn_core import ids
 from buckthorn_core import records
 from buckthorn_daemon import daemon
-from buckthorn_daemon import egress
-from buckthorn_daemon import gossiping
-from buckthorn_daemon import ingress
 from buckthorn_daemon import jobs
-from buckthorn_daemon import reading
-from buckthorn_daemon import relaying
 from buckthorn_daemon import settings
-from buckthorn_daemon import state
-from buckthorn_daemon import summarising
 from tests.fakes import bundles
 from tests.fakes import channels
 from tests.fakes import clocks
 from tests.fakes import logs
 
-_TIMED = (
-    daemon,
-    egress,
-    gossiping,
-    ingress,
-    jobs,
-    reading,
-    relaying,
-    state,
-    summarising,
-)
 STEP_S = 0.1
 CHECKPOINT_S = 60.0
 
@@ -85,8 +68,9 @@
         self.versions: dict[str, list[int]] = {}
         self.upstreams: dict[str, str] = {}
         self._publications = 0
-        for module in _TIMED:
-            monkeypatch.setattr(module, "time", self.clock)
+        for name, module in list(sys.modules.items()):
+            if name.startswith("buckthorn_daemon.") and hasattr(module, "time"):
+                monkeypatch.setattr(module, "time", self.clock)
         # Jobs spread their runs with the module's shared generator.
         monkeypatch.setattr(jobs, "random", self.rng)
 
