--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -9,9 +9,11 @@
 from buckthorn_adapters import peers
 from buckthorn_adapters import servers
 from buckthorn_core import entries
+from buckthorn_core import errors
 from buckthorn_core import messages
 from buckthorn_core import traffic
 from buckthorn_daemon import admin
+from buckthorn_daemon import burning
 from buckthorn_daemon import claiming
 from buckthorn_daemon import egress
 from buckthorn_daemon import gossiping
@@ -53,11 +55,14 @@
         self._gossiper = gossiping.Gossiper(self.shared, self._log)
         self._distributor = relaying.Distributor(self.shared, self._reader)
         self._summariser = summarising.Summariser(self.shared)
+        self._burner = burning.Burner(self.shared)
         self._ingress = ingress.Ingress(self.shared)
         self._owners = owning.Owners(self.shared, self._log)
         self._claimer = claiming.Claimer(self.shared, self._owners)
-        self._egress = egress.Egress(self.shared, self._claimer)
-        self._admin = admin.Admin(self.shared, self._ingress)
+        self._egress = egress.Egress(
+            self.shared, self._claimer, self._burner.finished
+        )
+        self._admin = admin.Admin(self.shared, self._ingress, self._burner)
         self._peer_server = peers.PeerServer(
             cfg.peer_listen,
             self.shared.identity,
@@ -83,14 +88,15 @@
         add("checkpoint", 2.0, reader.checkpoint)
         add("contacts", self._contacts_wait_s, reader.write_contacts)
         add("summary", summarising.SUMMARY_S, self._summariser.run)
+        add("burn", self._burner.wait_s, self._burner.run)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
             "quarantine",
             quarantining.TICK_PERIOD_S,
             quarantining.Guard(self.shared).tick,
         )
-        add("regions", gossiping.REGIONS_S, self._gossiper.refresh_regions)
         add("finals", claiming.FLUSH_S, self._claimer.flush)
+        add("regions", gossiping.REGIONS_S, self._gossiper.refresh_regions)
         add("catch_up", 0.5, distributor.catch_up)
         report = add("report", distributor.report_wait_s, distributor.report)
         self.shared.on_version.append(self._on_version)
@@ -120,6 +126,7 @@
         """Stops taking work and waits for what is in flight."""
         _logger.info("draining", daemon=self._cfg.daemon_id)
         self._ingress.stop_admitting()
+        self._http.drain()
         with self.shared.lock:
             self.shared.membership.update_me(state=entries.MemberState.DRAINING)
         end_s = time.monotonic() + self._cfg.drain_min_s
@@ -152,10 +159,16 @@
         self._scheduler.submit(self._distributor.announce)
 
     def _on_request(self, exchange: servers.Exchange) -> None:
-        if headers.is_ingress(exchange):
-            self._ingress.handle(exchange)
-        else:
+        if not headers.is_ingress(exchange):
             self._egress.handle(exchange)
+            return
+        try:
+            self._ingress.handle(exchange)
+        except errors.BuckthornError as exc:
+            self.shared.metrics.count(
+                "buckthorn_ingress_errors", code=exc.code.value
+            )
+            raise
 
     def _on_message(self, envelope: messages.Envelope) -> messages.Payload:
         self.shared.note_peer(envelope)
@@ -177,6 +190,9 @@
             messages.StatusQuery: lambda m, e: querying.count(self.shared),
             messages.Claim: self._owners.on_claim,
             messages.Complete: self._owners.on_complete,
+            messages.BurnReport: self._burner.on_report,
+            messages.BurnQuery: lambda m, e: self._burner.on_query(m),
+            messages.BurnCopy: lambda m, e: self._burner.on_copy(),
         }
 
     def _on_announce(
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -1,5 +1,6 @@
 """Requests of callers: choice of an upstream, retries, relay of the answer."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 import threading
@@ -12,6 +13,7 @@
 from buckthorn_adapters import servers
 from buckthorn_adapters import upstreams
 from buckthorn_core import attempts
+from buckthorn_core import burn
 from buckthorn_core import choices
 from buckthorn_core import endpoints
 from buckthorn_core import errors
@@ -43,6 +45,7 @@
         tried: Daemons that it was sent to.
         expires_ms: When its claim expires, in ms since the epoch; None
             without a claim.
+        last: The daemon that it was sent to last.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.body_consumed = False
         self.tried: set[ids.DaemonId] = set()
         self.expires_ms: int | None = None
+        self.last: ids.DaemonId | None = None
         exchange.body.limit(resource.max_body_bytes)
         exchange.add_header(headers.VERSION, str(snapshot.version.number))
         length = exchange.body.length
@@ -93,7 +97,11 @@
         )
 
     def pieces(self) -> Iterator[bytes]:
-        """Yields the pieces of a long body."""
+        """Yields the pieces of a long body.
+
+        Raises:
+            errors.RequestError: The body is cut short or too long.
+        """
         try:
             for piece in self.exchange.body.pieces():
                 self.body_consumed = True
@@ -110,9 +118,15 @@
 class Egress:
     """Sends callers' requests to daemons beside upstreams."""
 
-    def __init__(self, shared: state.State, claimer: claiming.Claimer):
+    def __init__(
+        self,
+        shared: state.State,
+        claimer: claiming.Claimer,
+        on_finished: Callable[[Call | None, str, float], None],
+    ):
         self._shared = shared
         self._claimer = claimer
+        self._on_finished = on_finished
         self._pools = upstreams.Pools()
         self._guard = quarantining.Guard(shared)
         self._observations = choices.Observations()
@@ -121,6 +135,10 @@
         self._rng = random.Random()
         self._lock = threading.Lock()
         self._running = 0
+        # Callers' requests wait for other daemons' ingress, which runs on the
+        # same threads. If they held all threads of all daemons, none of them
+        # could go on.
+        self._most_running = max(1, shared.cfg.http_threads // 2)
         self._closed = False
 
     @property
@@ -146,11 +164,18 @@
         with self._lock:
             self._running += 1
         service = "none"
+        call = None
+        cause = burn.INTERNAL
         try:
             call = self._open(exchange)
             service = call.route.service
             self._claimer.run(call, lambda: self._send(call))
+            cause = burn.status_cause(exchange.status)
+        except OSError:
+            cause = burn.CALLER_GONE
+            raise
         except errors.BuckthornError as exc:
+            cause = exc.code.value
             self._shared.metrics.count(
                 "buckthorn_request_errors",
                 service=service,
@@ -160,18 +185,23 @@
         finally:
             with self._lock:
                 self._running -= 1
+            seconds = time.monotonic() - started_s
+            self._on_finished(call, cause, seconds)
             self._shared.metrics.record(
-                "buckthorn_request",
-                time.monotonic() - started_s,
-                service=service,
+                "buckthorn_request", seconds, service=service
             )
-            self._shared.metrics.count("buckthorn_requests", service=service)
 
     def _open(self, exchange: servers.Exchange) -> Call:
         if self._closed:
             raise errors.RequestError(
                 errors.Code.DRAINING, "this daemon is stopping", 1.0
             )
+        if self._running > self._most_running:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                f"{self._most_running} requests of callers run here",
+                1.0,
+            )
         snapshot = self._shared.holder.current
         if snapshot is None or not self._shared.holder.ready:
             raise errors.RequestError(
@@ -201,6 +231,7 @@
                 self._guard.check(call.fingerprint)
                 endpoint = self._choose(call)
                 call.tried.add(endpoint.daemon)
+                call.last = endpoint.daemon
                 self._try(call, endpoint)
                 return
             except errors.RequestError as exc:
@@ -310,6 +341,7 @@
         if call.streams:
             out[headers.AWAIT] = headers.AWAIT_ADMISSION
         lease = self._pools.take(endpoint.address, not call.idempotent)
+        resp = None
         try:
             resp = lease.send(
                 call.exchange.method,
@@ -331,7 +363,9 @@
                 errors.Code.PEER_UNAVAILABLE, str(exc), 1.0
             ) from exc
         except errors.BuckthornError as exc:
-            if exc.trait.not_run:
+            # Without an answer the request is sent in part only, and the
+            # connection can't be used again.
+            if exc.trait.not_run and resp is not None:
                 lease.release()
             else:
                 lease.discard()
@@ -367,9 +401,11 @@
     def _raise_unknown(self, resp: Any) -> None:
         """Raises what the other daemon says of a request that may have run.
 
-        Only a failed connection to the upstream lets an idempotent request
-        try another one; other answers are passed on as they are.
+        Only a failed connection to the upstream, or a body that the other
+        daemon did not receive whole, lets an idempotent request try another
+        one; other answers are passed on as they are.
         """
-        if servers.OUTCOME_HEADER in resp.headers and resp.status == 502:
+        failed = resp.status in (400, 502)
+        if servers.OUTCOME_HEADER in resp.headers and failed:
             text = resp.read(decode_content=False).decode("utf-8", "replace")
             raise errors.RequestError(errors.Code.UPSTREAM_FAILED, text.strip())
--- a/packages/daemon/buckthorn_daemon/state.py
+++ b/packages/daemon/buckthorn_daemon/state.py
@@ -63,6 +63,10 @@
         self.relay = relays.Relay(compressors.ZstdDeltaCodec())
         self.acks = acks.AckTree(cfg.daemon_id, cfg.site)
         self.holder = snapshots.SnapshotHolder()
+        self.metrics.watch(
+            "buckthorn_version", lambda: self.holder.version.number
+        )
+        self.metrics.watch("buckthorn_ready", lambda: int(self.holder.ready))
         self.floors = floors.FloorSearch(cfg.site, self.started_s)
         self.acceptor = acceptance.Acceptor(
             cfg.publish_key.encode(), cfg.peer_key.encode()
@@ -138,6 +142,10 @@
         """Returns whether this daemon is the first relay of its region."""
         return self.tree().relays[:1] == [self.cfg.daemon_id]
 
+    def is_root(self) -> bool:
+        """Returns whether acknowledgements of the whole fleet end here."""
+        return self.cfg.region == self.cfg.log_region and self.is_first_relay()
+
     def region_address(self, region: ids.RegionName) -> ids.Address | None:
         """Returns a peer address in another region, or None."""
         entry = self.table.entries.get(f"r/{region}")
@@ -146,10 +154,6 @@
             announced = entry.addresses
         return self.contacts.choose(region, announced)
 
-    def is_root(self) -> bool:
-        """Returns whether acknowledgements of the whole fleet end here."""
-        return self.cfg.region == self.cfg.log_region and self.is_first_relay()
-
     def apply(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Puts a version in force.
 
@@ -161,7 +165,6 @@
             if not self.holder.apply(snapshot):
                 return False
             self.relay.put(version, raw)
-        self.metrics.set("buckthorn_version", version.number)
         for listener in self.on_version:
             listener()
         return True
--- a/packages/daemon/buckthorn_daemon/summarising.py
+++ b/packages/daemon/buckthorn_daemon/summarising.py
@@ -133,9 +133,9 @@
             with shared.lock:
                 shared.contacts.failed(region)
             return
+        self._suspicions_sent[region] = {s.key: s for s in suspicions}
         with shared.lock:
             shared.contacts.answered(region)
-        self._suspicions_sent[region] = {s.key: s for s in suspicions}
         reply = envelope.payload
         if isinstance(reply, messages.SummaryReply) and reply.digest == digest:
             self._sent[region] = own
--- a/tests/core/test_operations.py
+++ b/tests/core/test_operations.py
@@ -1,7 +1,7 @@
 """Owners of operation keys: log order, lost answers, outages, retention."""
 
-import operation_fakes as fakes
 import pytest
+from tests.fakes import operations as fakes
 
 from buckthorn_core import claims
 from buckthorn_core import ledgers
@@ -178,7 +178,7 @@
     owner = fakes.make_owner("a")
     fakes.ask(owner, log, fakes.make_claim("k", "t1"))
     log.now_s += 4_000
-    log.expire(3_600)
+    log.expire(fakes.RETENTION_S)
     fakes.ask(owner, log, fakes.make_claim("k", "t2"))
     fresh = fakes.make_owner("b")
     claim = fakes.make_claim("other", "t3")
@@ -211,6 +211,18 @@
     assert bodies == [None, b"done", b"done"]
 
 
+def test_holders_are_not_told_to_wait_longer_and_longer(log):
+    """Guards against a hint that is learnt from the hint itself."""
+    owner = fakes.make_owner("a")
+    hints = []
+    for n in range(20):
+        claim = fakes.make_claim(f"k{n}", f"t{n}")
+        hints.append(owner.claim(claim, log.now_s, log.now_ms).retry_ms)
+        fakes.settle(owner, log)
+        owner.claim(claim, log.now_s, log.now_ms)
+    assert max(hints) <= 1_000 * 2 * operations.BATCH_S
+
+
 def test_appends_are_bounded_whatever_the_number_of_claims(log):
     """Guards against a log overloaded by many claims."""
     owner = fakes.make_owner("a")
