Keep few idle sockets, and bound the pulls a relay serves

Cause: an idle daemon's processor share grew with its region, 1.7% of a core at 6 members and 4.5% at 40, while its messages did not. By thread, NNG's timer thread took 410 of 550 ms in 12 s; it scans the kept request sockets, of which there were up to 64. Pulls in progress were never counted, so a relay's limit had no effect.

Ruled out: the project's own threads (the largest took 60 ms in 12 s).

--- a/packages/adapters/buckthorn_adapters/peers.py
+++ b/packages/adapters/buckthorn_adapters/peers.py
@@ -13,7 +13,9 @@
 from buckthorn_core import traffic
 
 REQUEST_TIMEOUT_S = 2.0
-MAX_SOCKETS = 64
+# Each kept socket costs NNG's timer thread 0.08% of a core; a new connection to
+# the next member to probe costs less.
+MAX_SOCKETS = 4
 # Two may wait for indirect probes while the others answer.
 SERVER_THREADS = 4
 # By default NNG starts several threads for each processor core.
--- a/packages/core/buckthorn_core/relays.py
+++ b/packages/core/buckthorn_core/relays.py
@@ -8,7 +8,11 @@
 from buckthorn_core import meshes
 from buckthorn_core import ports
 
-MAX_PULLS = 32
+# A relay has 16 children on average. After a herd has returned many more may
+# ask at once; those beyond the burst come back a little later, so that the
+# relay goes on answering its other messages.
+PULLS_PER_S = 32.0
+PULL_BURST = 32.0
 KEPT_VERSIONS = 4
 KEPT_DELTAS = 16
 CHILD_TIMEOUT_S = 15.0
@@ -56,7 +60,8 @@
         )
         self._children: dict[ids.DaemonId, float] = {}
         self.version = meshes.NO_VERSION
-        self.pulls_running = 0
+        self._pulls_left = PULL_BURST
+        self._refilled_s: float | None = None
 
     def put(self, version: meshes.VersionId, raw: bytes) -> bool:
         """Makes a version the one to serve, unless it isn't newer."""
@@ -73,11 +78,11 @@
         """Returns the bundle of a version that is still kept."""
         return self._versions.get(version)
 
-    def pull(self, held: meshes.VersionId) -> PullAnswer:
+    def pull(self, held: meshes.VersionId, now_s: float) -> PullAnswer:
         """Answers a daemon that holds a version."""
         if held.number >= self.version.number:
             return PullAnswer(PullResult.CURRENT, self.version)
-        if self.pulls_running >= MAX_PULLS:
+        if not self._take_pull(now_s):
             return PullAnswer(PullResult.BUSY, self.version)
         base = held if held in self._versions else meshes.NO_VERSION
         cached = self._cache.get(base)
@@ -88,6 +93,16 @@
                 self._cache.popitem(last=False)
         return cached
 
+    def _take_pull(self, now_s: float) -> bool:
+        if self._refilled_s is not None:
+            gained = (now_s - self._refilled_s) * PULLS_PER_S
+            self._pulls_left = min(PULL_BURST, self._pulls_left + gained)
+        self._refilled_s = now_s
+        if self._pulls_left < 1.0:
+            return False
+        self._pulls_left -= 1.0
+        return True
+
     def _make_answer(self, base: meshes.VersionId) -> PullAnswer:
         raw = self._versions[self.version]
         old = self._versions.get(base)
--- a/packages/daemon/buckthorn_daemon/relaying.py
+++ b/packages/daemon/buckthorn_daemon/relaying.py
@@ -201,7 +201,7 @@
         """Answers a pull."""
         shared = self._shared
         with shared.lock:
-            answer = shared.relay.pull(message.held)
+            answer = shared.relay.pull(message.held, time.monotonic())
         shared.metrics.count("buckthorn_pulls", result=answer.result.value)
         return messages.PullReply(
             answer.result.value,
--- /dev/null
+++ b/tests/core/test_relays.py
@@ -0,0 +1,44 @@
+"""What a relay sends to a herd."""
+
+from buckthorn_core import ids
+from buckthorn_core import meshes
+from buckthorn_core import relays
+
+
+class CountingCodec:
+    def __init__(self):
+        self.encoded = 0
+
+    def encode(self, data, base):
+        self.encoded += 1
+        return data
+
+    def decode(self, data, base):
+        return data
+
+
+def version(number: int) -> meshes.VersionId:
+    return meshes.VersionId(ids.VersionNumber(number), f"digest{number}")
+
+
+def test_herd_is_spread_and_costs_one_compression():
+    """Guards against a relay that is busy with pulls for seconds."""
+    codec = CountingCodec()
+    relay = relays.Relay(codec)
+    relay.put(version(1), b"one")
+    answers = [relay.pull(meshes.NO_VERSION, 0.0) for _ in range(100)]
+    served = [a for a in answers if a.result is relays.PullResult.WHOLE]
+    assert len(served) == relays.PULL_BURST
+    assert answers[-1].result is relays.PullResult.BUSY
+    assert codec.encoded == 1
+    later = relay.pull(meshes.NO_VERSION, 1.0)
+    assert later.result is relays.PullResult.WHOLE
+
+
+def test_relay_never_serves_an_older_version():
+    """Guards against a late message that takes children back."""
+    relay = relays.Relay(CountingCodec())
+    assert relay.put(version(2), b"two")
+    assert not relay.put(version(1), b"one")
+    assert relay.pull(version(1), 0.0).version == version(2)
+    assert relay.pull(version(2), 0.0).result is relays.PullResult.CURRENT
--- a/tests/matrix/test_versions.py
+++ b/tests/matrix/test_versions.py
@@ -123,7 +123,7 @@
     @stateful.rule(child=hosts, parent=hosts, damage=strategies.booleans())
     def pull(self, child, parent, damage):
         mine, other = self.hosts[child], self.hosts[parent]
-        answer = other.relay.pull(mine.holder.version)
+        answer = other.relay.pull(mine.holder.version, 0.0)
         if damage and answer.data:
             data = bytearray(answer.data)
             data[len(data) // 2] ^= 0x55
@@ -200,7 +200,9 @@
         return changed
 
     monkeypatch.setattr(snapshots.SnapshotHolder, "apply", apply)
-    monkeypatch.setattr(relays.Relay, "pull", lambda self, held: _whole(self))
+    monkeypatch.setattr(
+        relays.Relay, "pull", lambda self, held, now_s: _whole(self)
+    )
     assert "G1" in run_planted()
 
 
@@ -221,8 +223,8 @@
     """Planted fault for G3: the bytes of one version under another's id."""
     original = relays.Relay.pull
 
-    def pull(self, held):
-        answer = original(self, held)
+    def pull(self, held, now_s):
+        answer = original(self, held, now_s)
         number = ids.VersionNumber(answer.version.number + 1)
         return answer._replace(
             version=msgspec.structs.replace(answer.version, number=number)
