--- a/packages/core/buckthorn_core/burn.py
+++ b/packages/core/buckthorn_core/burn.py
@@ -41,9 +41,12 @@
         errors.Code.NO_ROUTE.value,
         errors.Code.BODY_TOO_LARGE.value,
         errors.Code.HEADERS_TOO_LARGE.value,
+        errors.Code.BODY_OVERRUN.value,
         errors.Code.BODY_CUT_SHORT.value,
         errors.Code.BAD_REQUEST.value,
         errors.Code.IN_PROGRESS.value,
+        errors.Code.ALREADY_COMPLETED.value,
+        errors.Code.KEY_REUSED.value,
         errors.Code.QUARANTINED.value,
         CALLER_GONE,
     }
