--- a/tests/matrix/test_versions.py
+++ b/tests/matrix/test_versions.py
@@ -177,7 +177,7 @@
 def run_planted() -> str:
     """Runs the machine and returns what it found."""
     settings = hypothesis.settings(
-        max_examples=300,
+        max_examples=3000,
         stateful_step_count=40,
         derandomize=True,
         database=None,
