Let only daemons reach an ingress, and only for its service

Cause: any caller could send `Buckthorn-Hop: ingress` and pass by routing and claims. The header did not name the service either, so with a member table that is a moment old a request could reach another service's upstream at an address that had changed hands.

Change: the header names the service and carries a code made with the peer key; without it a request is a caller's, and one for another service is refused as not run.

--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -159,7 +159,8 @@
         self._scheduler.submit(self._distributor.announce)
 
     def _on_request(self, exchange: servers.Exchange) -> None:
-        if not headers.is_ingress(exchange):
+        key = self.shared.identity.key
+        if headers.hop_service(exchange, key) is None:
             self._egress.handle(exchange)
             return
         try:
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -336,6 +336,7 @@
             left_s,
             call.snapshot.version.number,
             call.expires_ms,
+            headers.hop(call.route.service, self._shared.identity.key),
         )
         out[headers.SUSPICION] = self._guard.header(call.fingerprint)
         if call.streams:
--- a/packages/daemon/buckthorn_daemon/headers.py
+++ b/packages/daemon/buckthorn_daemon/headers.py
@@ -1,15 +1,17 @@
 """Headers that daemons add, read and remove."""
 
 from collections.abc import Mapping
+import hmac
 import time
 
 from buckthorn_adapters import servers
 from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import signing
 
 DEADLINE = "Buckthorn-Deadline-Ms"
 VERSION = "Buckthorn-Version"
 HOP = "Buckthorn-Hop"
-HOP_INGRESS = "ingress"
 AWAIT = "Buckthorn-Await"
 AWAIT_ADMISSION = "admission"
 EXPIRES = "Buckthorn-Expires"
@@ -39,9 +41,29 @@
 )
 
 
-def is_ingress(exchange: servers.Exchange) -> bool:
-    """Returns whether another daemon sent the request for the upstream."""
-    return exchange.headers.get(HOP.lower()) == HOP_INGRESS
+def hop(service: ids.ServiceName, key: bytes) -> str:
+    """Returns what marks a request for the upstream beside a daemon.
+
+    Only who knows the key can make it, so that callers can't pass by routing
+    and claims. It names the service, because an address may belong to another
+    upstream by the time that a request arrives.
+    """
+    return f"{service}:{signing.sign(key, service.encode()).hex()}"
+
+
+def hop_service(
+    exchange: servers.Exchange, key: bytes
+) -> ids.ServiceName | None:
+    """Returns the service that another daemon sent a request to.
+
+    Returns:
+        None if no daemon sent it.
+    """
+    text = exchange.headers.get(HOP.lower(), "")
+    service = ids.ServiceName(text.rpartition(":")[0])
+    if not hmac.compare_digest(text.encode(), hop(service, key).encode()):
+        return None
+    return service
 
 
 def awaits_admission(exchange: servers.Exchange) -> bool:
@@ -119,6 +141,7 @@
     left_s: float,
     version: int,
     expires_ms: int | None,
+    hop_text: str,
 ) -> dict[str, str]:
     """Returns the headers of a request to the daemon of an upstream."""
     found = for_upstream(exchange, left_s)
@@ -126,7 +149,7 @@
     found.pop(EXPIRES.lower(), None)
     if expires_ms is not None:
         found[EXPIRES] = str(expires_ms)
-    found[HOP] = HOP_INGRESS
+    found[HOP] = hop_text
     found[VERSION] = str(version)
     return found
 
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -183,6 +183,13 @@
             raise errors.RequestError(
                 errors.Code.NO_UPSTREAM, "there is no upstream here", 1.0
             )
+        key = self._shared.identity.key
+        if headers.hop_service(exchange, key) != upstream.service:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM,
+                f"the upstream here is one of {upstream.service}",
+                0.0,
+            )
         if upstream.state is entries.UpstreamState.DRAINING:
             raise errors.RequestError(
                 errors.Code.DRAINING, "the upstream is leaving", 1.0
--- a/tests/daemon/pairs.py
+++ b/tests/daemon/pairs.py
@@ -17,6 +17,8 @@
 
 DEPLOY = pathlib.Path(__file__).parents[2] / "deploy" / "kulhus"
 SITE = ids.SiteName("aarhus-havn")
+KEY = b"k" * 16
+SERVICE = ids.ServiceName("delivery-booking")
 SILENCE_S = 0.8
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -85,7 +87,7 @@
             log_url="http://127.0.0.1:1",
             log_region=ids.RegionName("jylland"),
             publish_key="k" * 16,
-            peer_key="k" * 16,
+            peer_key=KEY.decode(),
         )
     )
     raw = meshes.encode(files.BundleFiles(DEPLOY).load())
--- a/tests/daemon/test_egress.py
+++ b/tests/daemon/test_egress.py
@@ -11,8 +11,10 @@
 from buckthorn_core import errors
 from buckthorn_core import traffic
 from buckthorn_daemon import egress
+from buckthorn_daemon import headers
 
 WAIT_S = 10.0
+KEY = b"test-key-0123456789"
 
 
 class _Holder:
@@ -63,3 +65,22 @@
         codes = {future.result(WAIT_S) for future in running}
     assert codes == {errors.Code.NOT_READY}
     assert code_of_refusal() is errors.Code.NOT_READY
+
+
+def make_exchange(text: str) -> types.SimpleNamespace:
+    return types.SimpleNamespace(headers={"buckthorn-hop": text})
+
+
+@pytest.mark.parametrize(
+    ("text", "service"),
+    [
+        (headers.hop("stock", KEY), "stock"),
+        (headers.hop("stock", b"another key"), None),
+        (headers.hop("stock", KEY).replace("stock", "order"), None),
+        ("stock", None),
+        ("", None),
+    ],
+)
+def test_only_daemons_reach_the_ingress(text, service):
+    """Guards against callers that pass by routing and claims."""
+    assert headers.hop_service(make_exchange(text), KEY) == service
--- a/tests/daemon/test_hops.py
+++ b/tests/daemon/test_hops.py
@@ -10,6 +10,7 @@
 from buckthorn_adapters import interims
 from buckthorn_core import entries
 from buckthorn_core import progress
+from buckthorn_daemon import headers
 from buckthorn_daemon import ingress
 
 
@@ -30,6 +31,7 @@
     + b"Transfer-Encoding: chunked\r\n\r\n"
 )
 HEAD = b"HTTP/1.1 200 OK\r\n"
+HOP = f"Buckthorn-Hop: {headers.hop(pairs.SERVICE, pairs.KEY)}\r\n".encode()
 # Longer than the silence limit of the fixture, and than the second that
 # connections are given to be made.
 PAUSE_S = 1.6 * pairs.SILENCE_S
@@ -306,7 +308,7 @@
     first.start()
     wait_until(lambda: upstream.received)
     with socket.create_connection(("127.0.0.1", pair.back_port)) as sock:
-        head = CHUNKED[:-2] + b"Buckthorn-Hop: ingress\r\n"
+        head = CHUNKED[:-2] + HOP
         sock.sendall(head + b"Buckthorn-Await: admission\r\n\r\n")
         sock.settimeout(5)
         assert interims.read(sock, 5).startswith(b"HTTP/1.1 100 Continue")
@@ -328,7 +330,7 @@
     upstream = pairs.SocketServer(script)
     pair.connect(upstream)
     with socket.create_connection(("127.0.0.1", pair.back_port)) as sock:
-        sock.sendall(GET[:-2] + b"Buckthorn-Hop: ingress\r\n\r\n")
+        sock.sendall(GET[:-2] + HOP + b"\r\n")
         wait_until(lambda: upstream.received)
     assert closed.wait(5)
     wait_until(lambda: pair.ingress.idle)
@@ -347,7 +349,7 @@
     upstream = pairs.SocketServer(script)
     pair.connect(upstream)
     with socket.create_connection(("127.0.0.1", pair.back_port)) as stuck:
-        stuck.sendall(GET[:-2] + b"Buckthorn-Hop: ingress\r\n\r\n")
+        stuck.sendall(GET[:-2] + HOP + b"\r\n")
         wait_until(lambda: upstream.received)
         answer = pair.call(GET.replace(b"s/1", b"s/2"))
     assert answer.startswith(b"HTTP/1.1 200"), answer
--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -10,10 +10,12 @@
 import urllib3
 
 from buckthorn_core import claims
+from buckthorn_daemon import headers as daemon_headers
 from buckthorn_standins import fleet
 
 mesh = test_path.mesh
 RUN_MS = 6_000
+HOP = daemon_headers.hop("delivery-booking", fleet.KEY.encode())
 
 
 def wait_ready(mesh: fleet.Fleet) -> None:
@@ -51,7 +53,7 @@
     found = urllib3.PoolManager(retries=False).request(
         "POST",
         f"http://{address}/bookings/1",
-        headers={"Buckthorn-Hop": "ingress", "Buckthorn-Expires": "1"},
+        headers={"Buckthorn-Hop": HOP, "Buckthorn-Expires": "1"},
     )
     assert (found.status, found.headers["Buckthorn-Not-Run"]) == expected
 
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -11,7 +11,9 @@
 import test_path
 import urllib3
 
+from buckthorn_daemon import headers as daemon_headers
 from buckthorn_standins import callers
+from buckthorn_standins import fleet
 from buckthorn_standins import judging
 
 mesh = test_path.mesh
@@ -192,7 +194,8 @@
 
     def book(number):
         connection = http.client.HTTPConnection(target.address("http"))
-        headers = {"Buckthorn-Hop": "ingress", "Buckthorn-Deadline-Ms": "15000"}
+        hop = daemon_headers.hop(target.service, fleet.KEY.encode())
+        headers = {"Buckthorn-Hop": hop, "Buckthorn-Deadline-Ms": "15000"}
         try:
             connection.request("POST", f"/bookings/{number}", headers=headers)
             return connection.getresponse().getheader("Buckthorn-Not-Run")
