--- a/packages/core/buckthorn_core/choices.py
+++ b/packages/core/buckthorn_core/choices.py
@@ -50,6 +50,14 @@
             found = self._by_daemon[daemon] = Observation(now_s)
         return found
 
+    def keep_only(self, daemons: set[ids.DaemonId]) -> None:
+        """Forgets endpoints that are gone and have no request in flight."""
+        self._by_daemon = {
+            daemon: seen
+            for daemon, seen in self._by_daemon.items()
+            if daemon in daemons or seen.in_flight > 0
+        }
+
     def started(self, daemon: ids.DaemonId, now_s: float) -> None:
         """Notes that a request was sent."""
         self.get(daemon, now_s).in_flight += 1
--- a/packages/core/buckthorn_core/endpoints.py
+++ b/packages/core/buckthorn_core/endpoints.py
@@ -61,6 +61,14 @@
         by_region = self._remote.get(service, {})
         return [e for endpoints in by_region.values() for e in endpoints]
 
+    def everything(self) -> list[Endpoint]:
+        """Returns all known endpoints of all services."""
+        found = [e for group in self._local.values() for e in group.values()]
+        for by_region in self._remote.values():
+            for group in by_region.values():
+                found.extend(group)
+        return found
+
     def services(self) -> list[ids.ServiceName]:
         """Returns the services with endpoints in the own region."""
         return [name for name, found in self._local.items() if found]
--- a/packages/daemon/buckthorn_daemon/daemon.py
+++ b/packages/daemon/buckthorn_daemon/daemon.py
@@ -31,6 +31,7 @@
 
 ADMIN_THREADS = 2
 DRAIN_POLL_S = 0.05
+PRUNE_PERIOD_S = 60.0
 LEFT_GOSSIP_S = 0.6
 
 _logger = loguru.logger.bind(module=__name__)
@@ -89,6 +90,7 @@
         add("contacts", self._contacts_wait_s, reader.write_contacts)
         add("summary", summarising.SUMMARY_S, self._summariser.run)
         add("burn", self._burner.wait_s, self._burner.run)
+        add("prune", PRUNE_PERIOD_S, self._egress.prune)
         add("upstream", 0.5, self._ingress.check_upstream)
         add(
             "quarantine",
--- a/packages/daemon/buckthorn_daemon/egress.py
+++ b/packages/daemon/buckthorn_daemon/egress.py
@@ -154,6 +154,14 @@
         """Refuses all new requests from now on."""
         self._closed = True
 
+    def prune(self) -> None:
+        """Forgets endpoints that are gone; thousands are replaced a day."""
+        with self._shared.lock:
+            known = self._shared.endpoints.everything()
+        with self._lock:
+            self._observations.keep_only({e.daemon for e in known})
+        self._pools.keep_only({e.address for e in known})
+
     def handle(self, exchange: servers.Exchange) -> None:
         """Serves a request of a caller.
 
--- a/tests/core/test_choices.py
+++ b/tests/core/test_choices.py
@@ -97,3 +97,19 @@
             depth += 1
         assert depth <= 5
     assert max(children.values()) <= 6 * 2**roles.TREE_BASE_BITS
+
+
+def test_endpoints_that_are_gone_are_forgotten():
+    """Guards against memory that grows with each host that is replaced."""
+    seen = choices.Observations()
+    for name in ("kept", "gone", "busy"):
+        seen.started(ids.DaemonId(name), 0.0)
+    for name in ("kept", "gone"):
+        seen.finished(ids.DaemonId(name), 1.0, 1.0)
+    seen.keep_only({ids.DaemonId("kept")})
+    latencies = {
+        name: seen.get(ids.DaemonId(name), 2.0).latency_s
+        for name in ("kept", "gone")
+    }
+    assert latencies["kept"] > latencies["gone"] == choices.INITIAL_LATENCY_S
+    assert seen.get(ids.DaemonId("busy"), 2.0).in_flight == 1
