Check each different site once

Cause: three checks merged every site.

Change: sites whose overlays change the same are checked once. A fault of the base is reported for one site instead of for each.

--- a/packages/core/buckthorn_core/validation.py
+++ b/packages/core/buckthorn_core/validation.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+import msgspec
+
 from buckthorn_core import findings
 from buckthorn_core import ids
 from buckthorn_core import meshes
@@ -61,6 +63,24 @@
     return {site for sites in base.regions.values() for site in sites}
 
 
+def _distinct_sites(bundle: meshes.Bundle) -> list[ids.SiteName]:
+    """Returns one site for each different merged configuration.
+
+    Most overlays change little or nothing; merging all sites took 70 ms at 780
+    services and 21 sites, too much for a log reader at a change every 2 s.
+    """
+    found: dict[bytes, ids.SiteName] = {}
+    for site in sorted(_all_sites(bundle.base)):
+        chain = views.overlay_chain(bundle, site)
+        differences = [
+            (o.services, o.resources, o.routes)
+            for o in chain
+            if o.services or o.resources or o.routes
+        ]
+        found.setdefault(msgspec.msgpack.encode(differences), site)
+    return list(found.values())
+
+
 @check
 def _site_names(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
     seen: dict[ids.SiteName, ids.RegionName] = {}
@@ -159,7 +179,7 @@
 
 @check
 def _limits(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
-    for site in sorted(_all_sites(bundle.base)):
+    for site in _distinct_sites(bundle):
         view = views.merge(bundle, site)
         for kind, items in (
             ("services", view.services.items()),
@@ -200,7 +220,7 @@
 
 @check
 def _prefixes(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
-    for site in sorted(_all_sites(bundle.base)):
+    for site in _distinct_sites(bundle):
         owners: dict[str, ids.RouteName] = {}
         for name, route in views.merge(bundle, site).routes.items():
             path = ("routes", name, "prefix")
@@ -225,7 +245,7 @@
 
 @check
 def _closed(bundle: meshes.Bundle) -> Iterator[findings.Finding]:
-    for site in sorted(_all_sites(bundle.base)):
+    for site in _distinct_sites(bundle):
         for finding in views.check_closed(views.merge(bundle, site)):
             yield _locate_dangling(bundle, site, finding)
 
