--- a/packages/daemon/buckthorn_daemon/owning.py
+++ b/packages/daemon/buckthorn_daemon/owning.py
@@ -67,8 +67,9 @@
             return None
         with shared.lock:
             members = shared.membership.eligible()
-            if members != self._members:
-                self._members = list(members)
+            # The list is another one after each change of the members.
+            if members is not self._members:
+                self._members = members
                 self._placed.clear()
             if partition not in self._placed:
                 self._placed[partition] = claims.owner_of(partition, members)
--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -138,8 +138,7 @@
         with shared.lock:
             if not self.is_reader():
                 return None
-            eligible = shared.membership.eligible()
-            readers = roles.holders("log_reader", eligible)
+            readers = shared.holders("log_reader")
             found = [shared.membership.member(reader) for reader in readers]
             gapped = {m.id for m in found if m is not None and m.gapped}
             return checkpoint_plans.rank(shared.cfg.daemon_id, readers, gapped)
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -3,13 +3,12 @@
 import hashlib
 import json
 import pathlib
-import subprocess
-import sys
 
 import pytest
 import urllib3
 
 from buckthorn_standins import fleet
+from buckthorn_standins import publications
 
 ROOT = pathlib.Path(__file__).parents[2]
 KULHUS = ROOT / "deploy" / "kulhus"
@@ -29,17 +28,7 @@
 
 
 def publish(mesh: fleet.Fleet, folder: pathlib.Path = KULHUS) -> None:
-    subprocess.run(
-        [
-            sys.executable,
-            "-m",
-            "buckthorn_client.main",
-            "publish",
-            f"--folder={folder}",
-            f"--cfg={mesh.client_settings()}",
-        ],
-        check=True,
-    )
+    publications.publish_files(folder, mesh.client_settings())
 
 
 @pytest.mark.processes
