--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins,$(CURDIR)/packages/$(p)))
+export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins sidecar,$(CURDIR)/packages/$(p)) $(CURDIR)/platform)
 
 .PHONY: demo experiment test lint format docs matrix clean
 
@@ -20,21 +20,21 @@
 	$(VENV)/bin/python -m pytest
 
 lint: $(VENV)/installed
-	$(VENV)/bin/ruff format --check packages tests tools
-	$(VENV)/bin/ruff check packages tests tools
-	$(VENV)/bin/python tools/check_imports.py packages tests tools
+	$(VENV)/bin/ruff format --check packages platform tests tools
+	$(VENV)/bin/ruff check packages platform tests tools
+	$(VENV)/bin/python tools/check_imports.py packages platform tests tools
 	$(VENV)/bin/lint-imports
-	$(VENV)/bin/mypy $(foreach p,core adapters daemon client standins,packages/$(p)/buckthorn_$(p)) tools
+	$(VENV)/bin/mypy $(foreach p,core adapters daemon client standins sidecar,packages/$(p)/buckthorn_$(p)) platform/buckthorn_platform tools
 
 format: $(VENV)/installed
-	$(VENV)/bin/ruff format packages tests tools
-	$(VENV)/bin/ruff check --fix packages tests tools
-	$(VENV)/bin/ruff format packages tests tools
+	$(VENV)/bin/ruff format packages platform tests tools
+	$(VENV)/bin/ruff check --fix packages platform tests tools
+	$(VENV)/bin/ruff format packages platform tests tools
 
 docs: $(VENV)/installed
 	$(VENV)/bin/python tools/settings_page.py
 
-$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
 	touch $@
--- /dev/null
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -0,0 +1,477 @@
+"""HTTP/1.1 messages over asyncio, parsed by httptools.
+
+Requests that a peer sends ahead are handed out as they arrive, so that they
+can run at the same time; the answers are written in order. Bodies are held in
+memory up to a limit.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import http
+import socket
+from typing import Any
+
+import httptools
+
+from buckthorn_core import errors
+from buckthorn_core import ids
+
+Headers = list[tuple[str, str]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+_NO_BODY_STATUSES = frozenset({204, 304})
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
+)
+
+
+class MalformedError(Exception):
+    """Bytes that are no message of the protocol."""
+
+
+class AnswerCutError(Exception):
+    """The connection ended before the answer was complete.
+
+    Attributes:
+        started: Whether any byte of an answer had arrived.
+    """
+
+    def __init__(self, message: str, started: bool):
+        super().__init__(message)
+        self.started = started
+
+
+class Request:
+    """A request as it was read."""
+
+    __slots__ = ("body", "headers", "keep_alive", "method", "target")
+
+    def __init__(self) -> None:
+        self.method = ""
+        self.target = ""
+        self.headers: Headers = []
+        self.body = b""
+        self.keep_alive = True
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header; `name` is lower case."""
+        return find(self.headers, name)
+
+
+class Answer:
+    """An answer as it was read."""
+
+    __slots__ = ("body", "headers", "keep_alive", "status")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = []
+        self.body = b""
+        self.keep_alive = True
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header; `name` is lower case."""
+        return find(self.headers, name)
+
+
+def find(headers: Headers, name: str) -> str | None:
+    """Returns the first value of a header; `name` is lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the headers without those of one connection."""
+    named: set[str] = set()
+    for key, value in headers:
+        if key.lower() == "connection":
+            named |= {word.strip().lower() for word in value.split(",")}
+    return [
+        (key, value)
+        for key, value in headers
+        if key.lower() not in HOP_HEADERS and key.lower() not in named
+    ]
+
+
+def encode_request(
+    method: str, target: str, headers: Headers, body: bytes
+) -> bytes:
+    """Returns the bytes of a request."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines.extend(f"{key}: {value}" for key, value in headers)
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(body)}")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def encode_answer(
+    status: int,
+    headers: Headers,
+    body: bytes,
+    close: bool,
+    head_only: bool = False,
+) -> bytes:
+    """Returns the bytes of an answer."""
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    lines = [f"HTTP/1.1 {status} {phrase}"]
+    lines.extend(f"{key}: {value}" for key, value in headers)
+    if status not in _NO_BODY_STATUSES:
+        lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode("latin-1")
+    return head if head_only or status in _NO_BODY_STATUSES else head + body
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
+
+
+def set_options(transport: Any) -> None:
+    """Makes a socket find out soon that its peer is gone."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        for level, option, value in _SOCKET_OPTIONS:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(level, option, value)
+
+
+class _RequestEvents:
+    """Callbacks of the parser of requests."""
+
+    def __init__(self, owner: "RequestReader"):
+        self._owner = owner
+
+    def on_message_begin(self) -> None:
+        self._owner.begin()
+
+    def on_url(self, url: bytes) -> None:
+        self._owner.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._owner.header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._owner.headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        self._owner.body_piece(body)
+
+    def on_message_complete(self) -> None:
+        self._owner.message_complete()
+
+
+class RequestReader:
+    """Turns bytes into requests.
+
+    Attributes:
+        reading: Whether a request has begun and isn't complete.
+        in_headers: Whether its headers aren't complete.
+    """
+
+    def __init__(
+        self,
+        on_request: Callable[[Request], None],
+        on_expect: Callable[[], None],
+        max_header_bytes: int,
+        max_body_bytes: int,
+    ):
+        self._on_request = on_request
+        self._on_expect = on_expect
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+        self._parser: Any = httptools.HttpRequestParser(_RequestEvents(self))
+        self._req = Request()
+        self._pieces: list[bytes] = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self.url = b""
+        self.reading = False
+        self.in_headers = False
+
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; complete requests go to `on_request`.
+
+        Raises:
+            errors.RequestError: The bytes aren't a request, or too many.
+        """
+        if self.in_headers or not self.reading:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise errors.RequestError(
+                errors.Code.BAD_REQUEST, "the connection can't be upgraded"
+            ) from exc
+        except httptools.HttpParserError as exc:
+            cause = exc.__context__
+            if isinstance(cause, errors.RequestError):
+                raise cause from exc
+            raise errors.RequestError(
+                errors.Code.BAD_REQUEST, f"malformed request: {exc}"
+            ) from exc
+        if self.in_headers and self._header_bytes > self.max_header_bytes:
+            raise _headers_too_large(self.max_header_bytes)
+
+    def begin(self) -> None:
+        """Starts a request."""
+        self._req = Request()
+        self._pieces = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self.url = b""
+        self.reading = True
+        self.in_headers = True
+
+    def header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._req.headers.append((_text(name), _text(value)))
+        self._header_bytes += len(name) + len(value) + 4
+        if self._header_bytes > 2 * self.max_header_bytes:
+            raise _headers_too_large(self.max_header_bytes)
+
+    def headers_complete(self) -> None:
+        """Checks the headers."""
+        req = self._req
+        size = len(self.url) + sum(len(k) + len(v) + 4 for k, v in req.headers)
+        if size > self.max_header_bytes:
+            raise _headers_too_large(self.max_header_bytes)
+        self.in_headers = False
+        req.method = _text(self._parser.get_method())
+        req.target = _text(self.url)
+        req.keep_alive = self._parser.should_keep_alive()
+        length = req.header("content-length")
+        if length and int(length) > self.max_body_bytes:
+            raise self._body_too_large()
+        if (req.header("expect") or "").lower() == "100-continue":
+            self._on_expect()
+
+    def body_piece(self, piece: bytes) -> None:
+        """Takes a piece of the body."""
+        self._pieces.append(piece)
+        self._body_bytes += len(piece)
+        if self._body_bytes > self.max_body_bytes:
+            raise self._body_too_large()
+
+    def message_complete(self) -> None:
+        """Hands out the request."""
+        self._req.body = b"".join(self._pieces)
+        self._pieces = []
+        self.reading = False
+        self._header_bytes = 0
+        self._on_request(self._req)
+
+    def _body_too_large(self) -> errors.RequestError:
+        return errors.RequestError(
+            errors.Code.BODY_TOO_LARGE, f"over {self.max_body_bytes} bytes"
+        )
+
+
+def _headers_too_large(limit: int) -> errors.RequestError:
+    return errors.RequestError(
+        errors.Code.HEADERS_TOO_LARGE, f"over {limit} bytes"
+    )
+
+
+class Connection(asyncio.Protocol):
+    """A connection on which requests are sent, one at a time.
+
+    Attributes:
+        used: Whether an exchange has been completed on it.
+        idle_since_s: When it was last used; set by its pool.
+        idle_limit_s: How long the peer keeps it idle, if it said so.
+    """
+
+    def __init__(self, max_body_bytes: int):
+        self._max_body_bytes = max_body_bytes
+        self._transport: Any = None
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._answer = Answer()
+        self._pieces: list[bytes] = []
+        self._body_bytes = 0
+        self._complete: list[Answer] = []
+        self._head_only = False
+        self._framed = False
+        self._in_message = False
+        self._in_headers = False
+        self._got_bytes = False
+        self._ended: str | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self.used = False
+        self.idle_since_s = 0.0
+        self.idle_limit_s: float | None = None
+
+    @property
+    def clean(self) -> bool:
+        """Whether another request may be sent on it."""
+        return (
+            self._ended is None
+            and not self._complete
+            and not self._in_message
+            and not self._got_bytes
+            and not self._transport.is_closing()
+        )
+
+    def connection_made(self, transport: Any) -> None:
+        """Takes the transport."""
+        self._transport = transport
+        set_options(transport)
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        self._answer = Answer()
+        self._pieces = []
+        self._body_bytes = 0
+        self._in_message = True
+        self._in_headers = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._answer.headers.append((_text(name), _text(value)))
+
+    def on_headers_complete(self) -> None:
+        """Finds out how the answer ends."""
+        answer = self._answer
+        answer.status = self._parser.get_status_code()
+        answer.keep_alive = self._parser.should_keep_alive()
+        self._in_headers = False
+        self._framed = (
+            answer.header("content-length") is not None
+            or answer.header("transfer-encoding") is not None
+        )
+        if self._head_only and answer.status >= 200:
+            # The parser would wait for the body that the length announces.
+            answer.keep_alive = False
+            self.on_message_complete()
+
+    def on_body(self, piece: bytes) -> None:
+        """Takes a piece of the body."""
+        self._pieces.append(piece)
+        self._body_bytes += len(piece)
+        if self._body_bytes > self._max_body_bytes:
+            raise MalformedError(f"over {self._max_body_bytes} bytes")
+
+    def on_message_complete(self) -> None:
+        """Keeps the answer, unless it is an interim one."""
+        self._in_message = False
+        if self._answer.status < 200:
+            return
+        self._answer.body = b"".join(self._pieces)
+        self._complete.append(self._answer)
+        self._got_bytes = False
+        self._wake()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes of the peer."""
+        self._got_bytes = True
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._end(f"malformed answer: {exc}")
+            self.close()
+            return
+        if not self._in_message:
+            self._got_bytes = False
+
+    def eof_received(self) -> bool:
+        """Completes an answer that ends with its connection."""
+        if self._in_message and not self._in_headers and not self._framed:
+            self._answer.keep_alive = False
+            self.on_message_complete()
+        self._end("the peer closed the connection")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes the end of the connection."""
+        self._end(f"the connection is lost: {exc}")
+
+    def _end(self, why: str) -> None:
+        if self._ended is None:
+            self._ended = why
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def send(self, data: bytes, head_only: bool = False) -> None:
+        """Sends a whole request.
+
+        Args:
+            data: The request.
+            head_only: Whether its answer has no body.
+        """
+        self._head_only = head_only
+        self._transport.write(data)
+
+    @property
+    def all_sent(self) -> bool:
+        """Whether all bytes have left."""
+        return bool(self._transport.get_write_buffer_size() == 0)
+
+    async def receive(self) -> Answer:
+        """Returns the next answer.
+
+        Raises:
+            AnswerCutError: The connection ended before it was complete.
+        """
+        while not self._complete:
+            if self._ended is not None:
+                started = self._in_message or self._got_bytes
+                raise AnswerCutError(self._ended, started)
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        return self._complete.pop(0)
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+async def connect(
+    address: ids.Address, timeout_s: float, max_body_bytes: int
+) -> Connection:
+    """Opens a connection.
+
+    Raises:
+        OSError: It can't be opened, or not in time.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, conn = await loop.create_connection(
+            lambda: Connection(max_body_bytes), host, int(port)
+        )
+    return conn
--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -12,12 +12,18 @@
 import threading
 import traceback
 from typing import Any
+from typing import TextIO
 
 import loguru
 
 REPEAT_S = 10.0
 # Events whose repetition is news: each stands for another state.
 REPEATABLE = frozenset({"version_accepted", "version_in_force"})
+# Events that explain single requests, each as often as this in a second: a
+# daemon refuses a few hundred requests a second in a burst, and a line costs
+# about 50 us.
+RATED = frozenset({"request", "bad_request", "foreign_answer", "link_lost"})
+RATED_PER_S = 100
 # Fields that say whose state changed; events of others are other events.
 SUBJECTS = ("job", "service", "partition")
 _OWN_EXTRA = "left_out"
@@ -30,6 +36,7 @@
         self._lock = threading.Lock()
         self._last_s: dict[tuple[Any, ...], float] = {}
         self._left_out: dict[tuple[Any, ...], int] = {}
+        self._written: dict[str, tuple[int, int]] = {}
 
     def __call__(self, record: Any) -> bool:
         """Returns whether a record is written."""
@@ -37,8 +44,10 @@
         if event in REPEATABLE:
             return True
         extra = record["extra"]
-        key = (event, *(extra.get(name) for name in SUBJECTS))
         now_s = record["elapsed"].total_seconds()
+        if event in RATED:
+            return self._is_within_rate(event, int(now_s), extra)
+        key = (event, *(extra.get(name) for name in SUBJECTS))
         with self._lock:
             if now_s - self._last_s.get(key, -REPEAT_S) < REPEAT_S:
                 self._left_out[key] = self._left_out.get(key, 0) + 1
@@ -49,6 +58,23 @@
             extra[_OWN_EXTRA] = left_out
         return True
 
+    def _is_within_rate(
+        self, event: str, second: int, extra: dict[str, Any]
+    ) -> bool:
+        key = (event,)
+        with self._lock:
+            now, written = self._written.get(event, (second, 0))
+            if now != second:
+                written = 0
+            if written >= RATED_PER_S:
+                self._left_out[key] = self._left_out.get(key, 0) + 1
+                return False
+            self._written[event] = (second, written + 1)
+            left_out = self._left_out.pop(key, 0)
+        if left_out:
+            extra[_OWN_EXTRA] = left_out
+        return True
+
 
 def _fields(record: Any) -> dict[str, Any]:
     fields = {k: v for k, v in record["extra"].items() if k != "module"}
@@ -94,23 +120,34 @@
     )
 
 
-def _sink(form: Callable[[Any], str]) -> Callable[[Any], None]:
+def _sink(
+    form: Callable[[Any], str], stream: TextIO | None
+) -> Callable[[Any], None]:
     def write(message: Any) -> None:
         record = message.record
         lines = f"{form(record)}\n"
         if form is as_text:
             lines += _traceback(record).get("traceback", "")
-        sys.stderr.write(lines)
-        sys.stderr.flush()
+        out = stream or sys.stderr
+        out.write(lines)
+        out.flush()
 
     return write
 
 
-def set_up(structured: bool, level: str = "INFO") -> None:
-    """Sends logs to standard error, as text or as JSON lines."""
+def set_up(
+    structured: bool, level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Sends logs to a stream, by default standard error.
+
+    Args:
+        structured: Whether as JSON lines, or as text.
+        level: The lowest level that is written.
+        stream: Where to write.
+    """
     loguru.logger.remove()
     loguru.logger.add(
-        _sink(as_json if structured else as_text),
+        _sink(as_json if structured else as_text, stream),
         level=level,
         format="{message}",
         filter=Limiter(),
--- /dev/null
+++ b/packages/core/buckthorn_core/directories.py
@@ -0,0 +1,91 @@
+"""The daemons that have registered, with the upstream beside each."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from buckthorn_core import errors
+from buckthorn_core import ids
+
+
+class Registration(msgspec.Struct, frozen=True):
+    """A daemon's record in the keyed topic of members.
+
+    It holds only what is fixed while the host serves, so that a daemon writes
+    once in its host's life. What changes (lifetime, state, load) is learnt
+    from the daemon itself.
+
+    Attributes:
+        daemon: The daemon.
+        address: Where it takes requests from other daemons.
+        service: The service of the upstream beside it.
+        site: Its availability zone.
+        region: Its region.
+        slots: How many requests its upstream runs at the same time.
+    """
+
+    daemon: ids.DaemonId
+    address: ids.Address
+    service: ids.ServiceName
+    site: ids.SiteName
+    region: ids.RegionName
+    slots: int
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Registration)
+
+
+def encode(registration: Registration) -> bytes:
+    """Returns a registration as a record's value."""
+    return _encoder.encode(registration)
+
+
+def decode(value: bytes) -> Registration:
+    """Returns the registration in a record's value.
+
+    Raises:
+        errors.ConfigError: The value isn't a registration.
+    """
+    try:
+        return _decoder.decode(value)
+    except msgspec.DecodeError as exc:
+        raise errors.ConfigError(errors.Code.BAD_RECORD, str(exc)) from exc
+
+
+class Directory:
+    """Registrations by daemon and by service."""
+
+    def __init__(self) -> None:
+        self._by_daemon: dict[ids.DaemonId, Registration] = {}
+        self._by_service: dict[
+            ids.ServiceName, dict[ids.DaemonId, Registration]
+        ] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_daemon)
+
+    def get(self, daemon: ids.DaemonId) -> Registration | None:
+        """Returns a daemon's registration, or None."""
+        return self._by_daemon.get(daemon)
+
+    def of(self, service: ids.ServiceName) -> Iterable[Registration]:
+        """Returns the registrations of a service."""
+        return self._by_service.get(service, {}).values()
+
+    def put(self, registration: Registration) -> bool:
+        """Adds or replaces a registration; returns whether it is new."""
+        old = self._by_daemon.get(registration.daemon)
+        if old == registration:
+            return False
+        self.remove(registration.daemon)
+        self._by_daemon[registration.daemon] = registration
+        peers = self._by_service.setdefault(registration.service, {})
+        peers[registration.daemon] = registration
+        return True
+
+    def remove(self, daemon: ids.DaemonId) -> None:
+        """Removes a daemon's registration, if there is one."""
+        old = self._by_daemon.pop(daemon, None)
+        if old is not None:
+            del self._by_service[old.service][daemon]
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -24,6 +24,7 @@
     BODY_OVERRUN = "body_overrun"
     BODY_CUT_SHORT = "body_cut_short"
     BAD_REQUEST = "bad_request"
+    HEADERS_SLOW = "headers_slow"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_SILENT = "upstream_silent"
     TIMED_OUT = "timed_out"
@@ -66,6 +67,7 @@
     Code.BODY_OVERRUN: Trait(413, False),
     Code.BODY_CUT_SHORT: Trait(400, False),
     Code.BAD_REQUEST: Trait(400, True),
+    Code.HEADERS_SLOW: Trait(408, True),
     Code.UPSTREAM_FAILED: Trait(502, False),
     Code.UPSTREAM_SILENT: Trait(504, False),
     Code.TIMED_OUT: Trait(504, False),
--- /dev/null
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -0,0 +1,124 @@
+"""What an upstream says of itself, and which of its lifetimes counts.
+
+Announcements arrive late, repeated and out of order. A lifetime is an id with
+the time of its start; within a lifetime the sequence number orders what it
+says. Draining and leaving are final for a lifetime.
+"""
+
+import enum
+
+import msgspec
+
+from buckthorn_core import ids
+
+# Ids of lifetimes that left before they were known here.
+MAX_LEFT = 256
+
+
+class UpstreamState(enum.Enum):
+    """State of an upstream's lifetime."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What an upstream says of itself.
+
+    Attributes:
+        instance: Its id.
+        born_ms: When this lifetime started, in ms since the epoch.
+        sequence: Rises with each announcement of a lifetime.
+        service: Its service.
+        address: Where it listens.
+        slots: How many requests it runs at the same time.
+        state: READY or DRAINING.
+        warmup_left_s: How much longer it stays slow, in seconds.
+    """
+
+    instance: ids.InstanceId
+    born_ms: int
+    sequence: int
+    service: ids.ServiceName
+    address: ids.Address
+    slots: int
+    state: UpstreamState
+    warmup_left_s: float
+
+
+class Change(enum.Enum):
+    """What an announcement changed."""
+
+    NOTHING = "nothing"
+    NEWS = "news"
+    NEW_LIFETIME = "new_lifetime"
+    CLOSED = "closed"
+
+
+class Lifetimes:
+    """The lifetime of the upstream beside this daemon.
+
+    Attributes:
+        current: The last valid announcement of the newest lifetime.
+        state: State of that lifetime; GONE if none is known.
+    """
+
+    def __init__(self) -> None:
+        self.current: Announcement | None = None
+        self.state = UpstreamState.GONE
+        self._left: dict[ids.InstanceId, int] = {}
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the upstream may get new requests."""
+        return self.state is UpstreamState.READY
+
+    def announce(self, said: Announcement) -> Change:
+        """Applies an announcement."""
+        old = self.current
+        if said.born_ms <= self._left.get(said.instance, -1):
+            return Change.NOTHING
+        if old is None or _is_later(said, old):
+            self.current = said
+            self.state = said.state
+            return Change.NEW_LIFETIME
+        same = (said.instance, said.born_ms) == (old.instance, old.born_ms)
+        if not same or said.sequence <= old.sequence:
+            return Change.NOTHING
+        self.current = said
+        if self.state is UpstreamState.READY is not said.state:
+            self.state = said.state
+            return Change.CLOSED
+        return Change.NEWS
+
+    def leave(
+        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
+    ) -> Change:
+        """Ends a lifetime.
+
+        Args:
+            instance: Its id.
+            born_ms: When it started; None if it did not say.
+            now_ms: Time of day in ms. An unknown lifetime without a start
+                ends all that started before now.
+        """
+        old = self.current
+        known = old is not None and old.instance == instance
+        if old is not None and known:
+            ended_ms = old.born_ms if born_ms is None else born_ms
+        else:
+            ended_ms = now_ms if born_ms is None else born_ms
+        self._left[instance] = max(ended_ms, self._left.get(instance, -1))
+        while len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+        if old is None or not known or old.born_ms > ended_ms:
+            return Change.NOTHING
+        if self.state is UpstreamState.GONE:
+            return Change.NOTHING
+        self.state = UpstreamState.GONE
+        return Change.CLOSED
+
+
+def _is_later(said: Announcement, old: Announcement) -> bool:
+    return said.born_ms > old.born_ms
--- /dev/null
+++ b/packages/core/buckthorn_core/placements.py
@@ -0,0 +1,186 @@
+"""Choice of the daemon that a request is sent to.
+
+Each candidate is scored with the time until its answer: the way there, the
+wait for a slot and the run, by the last load that its daemon reported and by
+what this daemon has sent since. A crossing of the paid link between regions
+counts as additional time, so that a request leaves its region only when the
+instances of the region can't answer within its target.
+"""
+
+from collections.abc import Sequence
+import random
+
+import msgspec
+
+from buckthorn_core import directories
+from buckthorn_core import ids
+from buckthorn_core import slot_queues
+
+# Round trips in seconds, as both meshes state them.
+SITE_TRIP_S = 0.0005
+REGION_TRIP_S = 0.002
+REMOTE_TRIP_S = 0.04
+# What a crossing is worth beside its trip, in seconds of waiting. Bytes
+# between zones cost an eighth of those between regions.
+SITE_CROSSING_S = 0.02
+REGION_CROSSING_S = 0.25
+# An answer after its target earns a tenth to a third of its value.
+LATE_PENALTY_S = 1.0
+# Candidates whose scores differ by less than this share of a run are equal;
+# otherwise all daemons would pick the same one between two reports.
+SPREAD = 0.25
+# A report describes the load for this long, in seconds.
+REPORT_S = 1.0
+# A daemon that refused gets no request for this long, in seconds, unless
+# there is no other.
+REFUSED_S = 0.1
+# A daemon that failed or could not be reached gets none for this long.
+FAILED_S = 1.0
+# Share of requests an instance failed, from which it is avoided.
+FAILING_SHARE = 0.2
+FAILURE_SMOOTHING = 0.1
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon reports of the upstream beside it.
+
+    Attributes:
+        slots: Its slots; 0 while it takes no work.
+        running: Requests in slots.
+        waiting: Requests in the queue.
+        run_s: Average run time in seconds.
+    """
+
+    slots: int
+    running: int
+    waiting: int
+    run_s: float
+
+
+class Seen:
+    """What this daemon knows of another one's upstream."""
+
+    __slots__ = (
+        "avoid_until_s",
+        "failing",
+        "load",
+        "reported_s",
+        "sent_since",
+    )
+
+    def __init__(self, slots: int):
+        self.load = Load(slots, 0, 0, slot_queues.INITIAL_RUN_S)
+        self.reported_s = float("-inf")
+        self.sent_since = 0
+        self.avoid_until_s = float("-inf")
+        self.failing = 0.0
+
+
+class Origin(msgspec.Struct, frozen=True):
+    """Where a request starts."""
+
+    daemon: ids.DaemonId
+    site: ids.SiteName
+    region: ids.RegionName
+
+
+class Placements:
+    """Scores candidates by reported load, distance and failures."""
+
+    def __init__(self, origin: Origin, rng: random.Random):
+        self._origin = origin
+        self._rng = rng
+        self._seen: dict[ids.DaemonId, Seen] = {}
+
+    def seen(self, to: directories.Registration) -> Seen:
+        """Returns what is known of a daemon's upstream."""
+        found = self._seen.get(to.daemon)
+        if found is None:
+            found = self._seen[to.daemon] = Seen(to.slots)
+        return found
+
+    def forget(self, daemon: ids.DaemonId) -> None:
+        """Forgets a daemon that is gone."""
+        self._seen.pop(daemon, None)
+
+    def report(
+        self, to: directories.Registration, load: Load, now_s: float
+    ) -> None:
+        """Takes a report of a daemon's load."""
+        seen = self.seen(to)
+        seen.load = load
+        seen.reported_s = now_s
+        seen.sent_since = 0
+
+    def sent(self, to: directories.Registration) -> None:
+        """Notes a request sent since the last report."""
+        self.seen(to).sent_since += 1
+
+    def refused(self, to: directories.Registration, now_s: float) -> None:
+        """Notes a refusal by the daemon beside the upstream."""
+        seen = self.seen(to)
+        seen.avoid_until_s = max(seen.avoid_until_s, now_s + REFUSED_S)
+
+    def unreachable(self, to: directories.Registration, now_s: float) -> None:
+        """Notes a daemon that can't be reached."""
+        seen = self.seen(to)
+        seen.avoid_until_s = max(seen.avoid_until_s, now_s + FAILED_S)
+
+    def answered(self, to: directories.Registration, failed: bool) -> None:
+        """Notes an upstream's own answer or refusal."""
+        seen = self.seen(to)
+        seen.failing += FAILURE_SMOOTHING * (failed - seen.failing)
+
+    def choose(
+        self,
+        candidates: Sequence[directories.Registration],
+        now_s: float,
+        left_to_target_s: float,
+    ) -> directories.Registration | None:
+        """Returns the candidate to send a request to, or None.
+
+        Args:
+            candidates: Registrations of the service, not tried yet.
+            now_s: Steady time in seconds.
+            left_to_target_s: Time left until the request's target.
+        """
+        usable = [
+            c for c in candidates if self.seen(c).avoid_until_s <= now_s
+        ] or list(candidates)
+        if not usable:
+            return None
+        return min(
+            usable, key=lambda c: self._score(c, now_s, left_to_target_s)
+        )
+
+    def _score(
+        self, to: directories.Registration, now_s: float, left_s: float
+    ) -> float:
+        seen = self.seen(to)
+        load = seen.load
+        fresh = now_s - seen.reported_s <= REPORT_S
+        busy = seen.sent_since + (load.running + load.waiting if fresh else 0)
+        slots = max(1, load.slots)
+        run_s = max(load.run_s, slot_queues.MIN_RETRY_AFTER_S)
+        queue_s = max(0, busy + 1 - slots) * run_s / slots
+        # Instances get slower towards their last slot, and reports are late.
+        crowd_s = run_s * 0.5 * min(1.0, busy / slots) ** 2
+        trip_s, crossing_s = self._distance(to)
+        total_s = trip_s + queue_s + crowd_s + run_s
+        score = total_s + crossing_s + self._rng.random() * SPREAD * run_s
+        if total_s > left_s:
+            score += LATE_PENALTY_S
+        if fresh and load.slots == 0:
+            score += 2 * LATE_PENALTY_S
+        if seen.failing > FAILING_SHARE:
+            score += LATE_PENALTY_S * seen.failing
+        return score
+
+    def _distance(self, to: directories.Registration) -> tuple[float, float]:
+        if to.daemon == self._origin.daemon:
+            return 0.0, 0.0
+        if to.region != self._origin.region:
+            return REMOTE_TRIP_S, REGION_CROSSING_S
+        if to.site != self._origin.site:
+            return REGION_TRIP_S, SITE_CROSSING_S
+        return SITE_TRIP_S, 0.0
--- /dev/null
+++ b/packages/core/buckthorn_core/retry_shares.py
@@ -0,0 +1,62 @@
+"""A daemon's share of the retries that a service can bear.
+
+The budget holds for all daemons together, in any window of some seconds. A
+daemon can't ask the others at each retry, so it keeps to a share that is safe
+whatever the others do: a fraction of its own requests, and its part of the
+constant allowance.
+"""
+
+import collections
+
+from buckthorn_core import ids
+
+# Calls that a repeated request makes count as repeats too, so a share must
+# leave room for them.
+RATIO_SHARE = 0.5
+CONSTANT_SHARE = 0.7
+# Until the directory is known, this many daemons are assumed to share.
+MIN_DAEMONS = 8
+
+
+class RetryShares:
+    """Counts requests and retries by service in a sliding window."""
+
+    def __init__(self, ratio: float, constant: float, window_s: float):
+        self._ratio = ratio * RATIO_SHARE
+        self._constant = constant * CONSTANT_SHARE
+        self._window_s = window_s
+        self._requests: dict[ids.ServiceName, collections.deque[float]] = {}
+        self._retries: dict[ids.ServiceName, collections.deque[float]] = {}
+
+    def add_request(self, service: ids.ServiceName, now_s: float) -> None:
+        """Counts a request of a caller."""
+        self._recent(self._requests, service, now_s).append(now_s)
+
+    def take(
+        self, service: ids.ServiceName, now_s: float, daemons: int
+    ) -> bool:
+        """Takes a retry from the share; returns whether there was one left.
+
+        Args:
+            service: The service that gets the retry.
+            now_s: Steady time in seconds.
+            daemons: How many daemons share the budget.
+        """
+        requests = self._recent(self._requests, service, now_s)
+        retries = self._recent(self._retries, service, now_s)
+        share = self._constant / max(MIN_DAEMONS, daemons)
+        if len(retries) + 1 > self._ratio * len(requests) + share:
+            return False
+        retries.append(now_s)
+        return True
+
+    def _recent(
+        self,
+        by_service: dict[ids.ServiceName, collections.deque[float]],
+        service: ids.ServiceName,
+        now_s: float,
+    ) -> collections.deque[float]:
+        times = by_service.setdefault(service, collections.deque())
+        while times and times[0] < now_s - self._window_s:
+            times.popleft()
+        return times
--- /dev/null
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -0,0 +1,210 @@
+"""Admission to an upstream's slots: which request runs, waits or is refused.
+
+The daemon beside an upstream never has more requests at it than it has slots,
+since some upstreams never answer what they can't queue. What waits here is
+ordered by urgency. A request is refused at once when it can't be answered in
+time behind those that go first, and refused later only when more urgent work
+arrives and pushes it back.
+"""
+
+from typing import NamedTuple
+
+from buckthorn_core import errors
+from buckthorn_core import ids
+
+# Assumed run time before a route has finished a request here, in seconds. The
+# calls of both meshes take 20 to 300 ms.
+INITIAL_RUN_S = 0.15
+# Weight of the newest run time in the average.
+SMOOTHING = 0.1
+# Share of its target that late work may wait: it earns little, and it must
+# not be held for long and then refused.
+LATE_WAIT_SHARE = 0.25
+# An answer needs this long for its way back to the caller, in seconds. The
+# links of the meshes take 8 ms to callers and up to 20 ms between regions.
+RETURN_S = 0.03
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 5.0
+
+
+class Work(NamedTuple):
+    """A request that asks for a slot.
+
+    Attributes:
+        route: Its route.
+        priority: Rank; 0 is the most urgent.
+        target_at_s: Until then an answer has its full value; steady time.
+        finish_by_s: Until then an answer is of use; steady time.
+        target_s: The route's target, in seconds.
+    """
+
+    route: ids.RouteName
+    priority: int
+    target_at_s: float
+    finish_by_s: float
+    target_s: float
+
+
+class Ticket(NamedTuple):
+    """Place of a request in a slot or in the queue."""
+
+    number: int
+    work: Work
+    late: bool
+
+    @property
+    def rank(self) -> tuple[bool, int, int]:
+        """Sort key of the queue: the smallest goes first."""
+        return (self.late, self.work.priority, self.number)
+
+
+class SlotQueue:
+    """Counts the slots of one upstream and orders what waits for them."""
+
+    def __init__(self, slots: int = 0):
+        self.slots = slots
+        self._running: set[int] = set()
+        self._waiting: list[Ticket] = []
+        self._numbers = 0
+        self._run_s: dict[ids.RouteName, float] = {}
+        self._mean_s = INITIAL_RUN_S
+
+    @property
+    def running(self) -> int:
+        """Number of requests in slots."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the queue."""
+        return len(self._waiting)
+
+    @property
+    def mean_run_s(self) -> float:
+        """Average run time of all routes, in seconds."""
+        return self._mean_s
+
+    def run_s(self, route: ids.RouteName) -> float:
+        """Returns how long a request of a route is expected to run."""
+        return self._run_s.get(route, self._mean_s)
+
+    def enter(self, now_s: float, work: Work) -> tuple[Ticket, list[Ticket]]:
+        """Takes a request in, into a slot or the queue.
+
+        Returns:
+            The ticket, and those that it pushed back too far: they have been
+            removed and are to be refused.
+
+        Raises:
+            errors.RequestError: The request is refused.
+        """
+        run_s = self.run_s(work.route)
+        late = now_s + run_s + RETURN_S > work.target_at_s
+        self._numbers += 1
+        ticket = Ticket(self._numbers, work, late)
+        if len(self._running) < self.slots and not self._waiting:
+            if now_s + RETURN_S > work.finish_by_s:
+                raise self._refusal(0.0, "no time is left")
+            self._running.add(ticket.number)
+            return ticket, []
+        self._check_wait(now_s, ticket)
+        self._waiting.append(ticket)
+        self._waiting.sort(key=lambda t: t.rank)
+        return ticket, self._evict(now_s)
+
+    def is_running(self, ticket: Ticket) -> bool:
+        """Returns whether a request has its slot."""
+        return ticket.number in self._running
+
+    def leave(self, ticket: Ticket, ran_s: float | None = None) -> None:
+        """Frees the place of a request.
+
+        Args:
+            ticket: The request's ticket.
+            ran_s: How long the upstream took, in seconds; None if it did not
+                run to an end.
+        """
+        self._running.discard(ticket.number)
+        self._waiting = [t for t in self._waiting if t.number != ticket.number]
+        if ran_s is not None:
+            old = self.run_s(ticket.work.route)
+            self._run_s[ticket.work.route] = old + SMOOTHING * (ran_s - old)
+            self._mean_s += SMOOTHING * (ran_s - self._mean_s)
+
+    def keep_only(self, routes: set[ids.RouteName]) -> None:
+        """Forgets the run times of routes that are gone."""
+        self._run_s = {k: v for k, v in self._run_s.items() if k in routes}
+
+    def start_waiting(self, now_s: float) -> tuple[list[Ticket], list[Ticket]]:
+        """Gives free slots to those that wait.
+
+        Returns:
+            Tickets that have a slot now, and tickets that can't be answered
+            in time any more and are to be refused.
+        """
+        refused = self._evict(now_s)
+        started = []
+        while self._waiting and len(self._running) < self.slots:
+            ticket = self._waiting.pop(0)
+            self._running.add(ticket.number)
+            started.append(ticket)
+        return started, refused
+
+    def refuse_all(self) -> list[Ticket]:
+        """Empties the queue; all that waited is to be refused."""
+        refused, self._waiting = self._waiting, []
+        return refused
+
+    def wait_s(self, ahead: int) -> float:
+        """Returns the expected wait behind a number of waiting requests."""
+        slots = max(1, self.slots)
+        busy = len(self._running) + ahead - self.slots + 1
+        return max(0, busy) * self._mean_s / slots
+
+    def retry_after_s(self) -> float:
+        """Returns when room is expected for another request, in seconds."""
+        wait_s = self.wait_s(len(self._waiting))
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def _check_wait(self, now_s: float, ticket: Ticket) -> None:
+        ahead = sum(1 for t in self._waiting if t.rank < ticket.rank)
+        wait_s = self.wait_s(ahead)
+        work = ticket.work
+        start_s = now_s + wait_s
+        end_s = start_s + self.run_s(work.route) + RETURN_S
+        if ticket.late:
+            fits = (
+                end_s <= work.finish_by_s
+                and wait_s <= LATE_WAIT_SHARE * work.target_s
+            )
+        else:
+            fits = end_s <= min(work.target_at_s, work.finish_by_s)
+        if not fits:
+            raise self._refusal(
+                self.retry_after_s(),
+                f"{self.running} run, {self.waiting} wait, {ahead} go first",
+            )
+
+    def _evict(self, now_s: float) -> list[Ticket]:
+        """Removes what can't be answered in time any more."""
+        kept: list[Ticket] = []
+        refused = []
+        for ticket in self._waiting:
+            start_s = (
+                now_s
+                + self.wait_s(len(kept))
+                - self._mean_s / max(1, self.slots)
+            )
+            end_s = start_s + self.run_s(ticket.work.route)
+            limit_s = ticket.work.finish_by_s
+            if not ticket.late:
+                limit_s = min(limit_s, ticket.work.target_at_s)
+            if end_s > limit_s:
+                refused.append(ticket)
+            else:
+                kept.append(ticket)
+        self._waiting = kept
+        return refused
+
+    def _refusal(self, after_s: float, why: str) -> errors.RequestError:
+        return errors.RequestError(errors.Code.SLOTS_FULL, why, after_s)
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each upstream: callers in, upstream out."""
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -0,0 +1,407 @@
+"""Requests for the upstream beside this daemon.
+
+The ingress is the gate: it alone knows the upstream's lifetime, state and
+slots. A request that a leaving, dead, replaced or full upstream would not run
+is refused here, without an arrival at the upstream, and its daemon sends it
+elsewhere.
+"""
+
+import asyncio
+import collections
+import uuid
+
+import loguru
+
+from buckthorn_adapters import http1
+from buckthorn_adapters import metrics
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import lifetimes
+from buckthorn_core import placements
+from buckthorn_core import slot_queues
+from buckthorn_sidecar import frames
+from buckthorn_sidecar import ports
+from buckthorn_sidecar import settings
+from buckthorn_sidecar import upstreams
+
+# The upstream answers at its deadline; this is how much later a missing
+# answer is given up, in seconds.
+ANSWER_SLACK_S = 0.1
+# How long the outcome of a request can be asked for, in seconds: a silent
+# link is noticed within 1.5 s.
+OUTCOME_S = 6.0
+MAX_OUTCOMES = 8_192
+# After the upstream could not be reached it gets no request for this long.
+DOWN_S = 0.3
+# Callers take these as a promise that the request did not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Ingress:
+    """Runs requests on the upstream beside this daemon.
+
+    Attributes:
+        queue: Its slots and what waits for them.
+        lifetimes: Its lifetime and state.
+        version: The configuration version in force, for reports.
+        boot: Names this process.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        dialect: ports.Dialect,
+        meter: metrics.Metrics,
+    ):
+        self._cfg = cfg
+        self._dialect = dialect
+        self._meter = meter
+        self._pool = upstreams.UpstreamPool(dialect)
+        self._pool.set_address(cfg.upstream_address)
+        self._started: dict[int, asyncio.Future[None]] = {}
+        self._tasks: dict[str, asyncio.Task[frames.Frame]] = {}
+        self._outcomes: collections.OrderedDict[
+            str, tuple[float, asyncio.Future[frames.Frame]]
+        ] = collections.OrderedDict()
+        # Tries of requests that run and must not run a second time.
+        self._committed: set[str] = set()
+        self._down_until_s = float("-inf")
+        self._stopping = False
+        self.version = 0
+        self.boot = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
+        self.queue = slot_queues.SlotQueue()
+        self.lifetimes = lifetimes.Lifetimes()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return not self._tasks
+
+    def stop_admitting(self) -> None:
+        """Refuses all new requests from now on."""
+        self._stopping = True
+
+    def close(self) -> None:
+        """Ends all exchanges."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._pool.close()
+
+    def load(self) -> placements.Load:
+        """Returns the upstream's load."""
+        closed = self._closed_reason() is not None
+        return placements.Load(
+            0 if closed else self.queue.slots,
+            self.queue.running,
+            self.queue.waiting,
+            round(self.queue.mean_run_s, 3),
+        )
+
+    def hello(self) -> frames.Hello:
+        """Returns the first message on a connection."""
+        return frames.Hello(self.boot, self.load(), self.version)
+
+    def pong(self) -> frames.Pong:
+        """Returns a sign of life."""
+        return frames.Pong(self.load(), self.version)
+
+    def announce(self, said: lifetimes.Announcement) -> lifetimes.Change:
+        """Applies an announcement of the upstream."""
+        change = self.lifetimes.announce(said)
+        if change is lifetimes.Change.NEW_LIFETIME:
+            self._pool.set_address(said.address)
+            self._down_until_s = float("-inf")
+            _logger.info(
+                "upstream_lifetime",
+                instance=said.instance,
+                born_ms=said.born_ms,
+                slots=said.slots,
+                state=said.state.value,
+            )
+        if change is not lifetimes.Change.NOTHING:
+            self.queue.slots = said.slots
+        self._after(change)
+        return change
+
+    def leave(
+        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
+    ) -> None:
+        """Closes the gate of a lifetime that leaves."""
+        self._after(self.lifetimes.leave(instance, born_ms, now_ms))
+
+    def _after(self, change: lifetimes.Change) -> None:
+        if change is lifetimes.Change.CLOSED:
+            _logger.info("upstream_closed", state=self.lifetimes.state.value)
+            for ticket in self.queue.refuse_all():
+                self._refuse(ticket, errors.Code.DRAINING)
+        else:
+            self._start_waiting()
+
+    def submit(self, req: frames.Request) -> "asyncio.Future[frames.Frame]":
+        """Runs a request; the result is an answer or a failure."""
+        known = self._outcomes.get(req.attempt)
+        if known is not None:
+            return known[1]
+        task = asyncio.create_task(self._run(req))
+        self._tasks[req.attempt] = task
+        self._remember(req.attempt, task)
+        task.add_done_callback(lambda _: self._tasks.pop(req.attempt, None))
+        return task
+
+    def ask(self, frame: frames.Ask) -> "asyncio.Future[frames.Frame]":
+        """Returns the outcome of a request sent earlier.
+
+        An unknown request gets a refusal that also holds for the request
+        itself, should it still arrive.
+        """
+        known = self._outcomes.get(frame.attempt)
+        if known is not None:
+            return known[1]
+        fut: asyncio.Future[frames.Frame] = (
+            asyncio.get_running_loop().create_future()
+        )
+        same = frame.boot == self.boot
+        exc = errors.RequestError(
+            errors.Code.PEER_UNAVAILABLE
+            if same
+            else errors.Code.UPSTREAM_FAILED,
+            "the request is not known" if same else "the daemon has restarted",
+        )
+        fut.set_result(self._failure(frame.attempt, exc, arrived=not same))
+        self._remember(frame.attempt, fut)
+        return fut
+
+    def cancel(self, attempt: str) -> None:
+        """Ends a request whose caller has gone.
+
+        One that runs and must not run again goes on: its work would be left
+        half done, and its answer can still be asked for.
+        """
+        task = self._tasks.get(attempt)
+        if task is not None and attempt not in self._committed:
+            task.cancel()
+
+    def _remember(
+        self, attempt: str, fut: "asyncio.Future[frames.Frame]"
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        outcomes = self._outcomes
+        outcomes[attempt] = (now_s, fut)
+        while outcomes:
+            first, (at_s, _) = next(iter(outcomes.items()))
+            if at_s > now_s - OUTCOME_S and len(outcomes) <= MAX_OUTCOMES:
+                return
+            del outcomes[first]
+
+    async def _run(self, req: frames.Request) -> frames.Frame:
+        arrived = False
+        loop = asyncio.get_running_loop()
+        finish_by_s = loop.time() + req.left_s
+        ticket = None
+        ran_s = None
+        try:
+            ticket = await self._admit(req, finish_by_s)
+            conn, data = await self._prepare(req, finish_by_s)
+            arrived = True
+            if not req.idempotent:
+                self._committed.add(req.attempt)
+            started_s = loop.time()
+            async with asyncio.timeout_at(finish_by_s + ANSWER_SLACK_S):
+                exchange = await self._pool.exchange(
+                    conn, req.method, data, req.request_id
+                )
+            ran_s = loop.time() - started_s
+            return self._result(req, exchange)
+        except TimeoutError:
+            return self._failure(
+                req.attempt,
+                errors.RequestError(
+                    errors.Code.TIMED_OUT, "no answer of the upstream in time"
+                ),
+                arrived,
+            )
+        except errors.RequestError as exc:
+            return self._failure(req.attempt, exc, arrived)
+        finally:
+            self._committed.discard(req.attempt)
+            if ticket is not None:
+                self.queue.leave(ticket, ran_s)
+                self._start_waiting()
+
+    def _closed_reason(self) -> str | None:
+        if self._stopping:
+            return "this daemon is stopping"
+        if not self.lifetimes.takes_work:
+            return f"the upstream is {self.lifetimes.state.value}"
+        if self._down_until_s > asyncio.get_running_loop().time():
+            return "the upstream could not be reached"
+        return None
+
+    async def _admit(
+        self, req: frames.Request, finish_by_s: float
+    ) -> slot_queues.Ticket:
+        """Waits for a slot.
+
+        Raises:
+            errors.RequestError: The request is refused.
+        """
+        reason = self._closed_reason()
+        if reason is not None:
+            raise errors.RequestError(errors.Code.DRAINING, reason, 0.1)
+        if req.service != self._cfg.service:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM, f"{self._cfg.service} runs here", 0.1
+            )
+        now_s = asyncio.get_running_loop().time()
+        work = slot_queues.Work(
+            req.route,
+            req.priority,
+            now_s + req.target_left_s,
+            finish_by_s,
+            req.target_s,
+        )
+        ticket, pushed_out = self.queue.enter(now_s, work)
+        for other in pushed_out:
+            self._refuse(other, errors.Code.SLOTS_FULL)
+        if self.queue.is_running(ticket):
+            return ticket
+        fut = asyncio.get_running_loop().create_future()
+        if ticket in pushed_out:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                "work that goes first leaves no time",
+                self.queue.retry_after_s(),
+            )
+        self._started[ticket.number] = fut
+        admitted = False
+        try:
+            async with asyncio.timeout_at(finish_by_s):
+                await fut
+            admitted = True
+        except TimeoutError as exc:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL, "no slot was free in time", 0.1
+            ) from exc
+        finally:
+            self._started.pop(ticket.number, None)
+            if not admitted:
+                self.queue.leave(ticket)
+                self._start_waiting()
+        return ticket
+
+    def _start_waiting(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        started, refused = self.queue.start_waiting(now_s)
+        for ticket in started:
+            fut = self._started.get(ticket.number)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
+            else:
+                self.queue.leave(ticket)
+        for ticket in refused:
+            self._refuse(ticket, errors.Code.SLOTS_FULL)
+
+    def _refuse(self, ticket: slot_queues.Ticket, code: errors.Code) -> None:
+        fut = self._started.get(ticket.number)
+        if fut is not None and not fut.done():
+            fut.set_exception(
+                errors.RequestError(
+                    code,
+                    "refused while it waited for a slot",
+                    self.queue.retry_after_s(),
+                )
+            )
+
+    async def _prepare(
+        self, req: frames.Request, finish_by_s: float
+    ) -> tuple[http1.Connection, bytes]:
+        """Returns a connection and the bytes to send on it.
+
+        Raises:
+            errors.RequestError: The request can't be sent any more.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            conn = await self._pool.take()
+        except errors.RequestError:
+            if self._down_until_s < loop.time():
+                _logger.warning(
+                    "upstream_unreachable", service=self._cfg.service
+                )
+            self._down_until_s = loop.time() + DOWN_S
+            raise
+        try:
+            instance = self._instance()
+            left_s = finish_by_s - loop.time()
+            if left_s <= 0:
+                raise errors.RequestError(
+                    errors.Code.DEADLINE_PASSED, "no time is left"
+                )
+        except errors.RequestError:
+            conn.close()
+            raise
+        headers = self._dialect.upstream_headers(
+            req.headers, left_s, req.caller_service, instance
+        )
+        return conn, http1.encode_request(
+            req.method, req.path, headers, req.body
+        )
+
+    def _instance(self) -> ids.InstanceId:
+        """Returns the instance to send to.
+
+        Raises:
+            errors.RequestError: The gate has closed meanwhile.
+        """
+        current = self.lifetimes.current
+        if current is None or not self.lifetimes.takes_work:
+            raise errors.RequestError(
+                errors.Code.DRAINING,
+                f"the upstream is {self.lifetimes.state.value}",
+                0.1,
+            )
+        return current.instance
+
+    def _result(
+        self, req: frames.Request, exchange: upstreams.Exchange
+    ) -> frames.Frame:
+        answer, says = exchange
+        if says.not_run or says.wrong_instance:
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_SHED,
+                f"the upstream answered {answer.status}, not run",
+                self.queue.retry_after_s(),
+            )
+        if 200 <= answer.status < 300 and not says.genuine:
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED, "an answer without proof"
+            )
+        if answer.status in _NOT_RUN_STATUSES:
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED,
+                f"the upstream answered {answer.status} and may have run it",
+            )
+        return frames.Answer(
+            req.attempt,
+            answer.status,
+            http1.end_to_end(answer.headers),
+            answer.body,
+            self.load(),
+            self.version,
+        )
+
+    def _failure(
+        self, attempt: str, exc: errors.RequestError, arrived: bool
+    ) -> frames.Failure:
+        self._meter.count("buckthorn_ingress_errors", code=exc.code.value)
+        return frames.Failure(
+            attempt,
+            exc.code,
+            exc.message,
+            exc.retry_after_s,
+            arrived,
+            self.load(),
+            self.version,
+        )
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -0,0 +1,332 @@
+"""Connections between sidecars.
+
+A `Link` sends this daemon's requests to another daemon, `LinkServer` takes
+the requests of others. A link with requests in flight that hears nothing is
+pinged; without a sign of life it is closed as silent, since a connection can
+go silent for good while new ones work.
+"""
+
+import asyncio
+from collections.abc import Callable
+import functools
+from typing import Any
+
+import loguru
+
+from buckthorn_adapters import http1
+from buckthorn_core import directories
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_sidecar import frames
+from buckthorn_sidecar import ingress
+
+# A connection between regions takes 40 ms; one lost packet adds 200 ms.
+CONNECT_TIMEOUT_S = 0.4
+# A link with requests in flight is pinged when nothing came for this long.
+PING_AFTER_S = 0.5
+# Two pings on a link that loses packets fit into this.
+SILENCE_S = 1.5
+# How often links are looked at, in seconds.
+CHECK_S = 0.25
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class LinkLostError(Exception):
+    """The connection ended with the request's outcome unknown."""
+
+
+class NotSentError(Exception):
+    """No connection could be made; nothing was sent.
+
+    Attributes:
+        refused: Whether the host answered that nobody listens there.
+    """
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        self.refused = refused
+
+
+class _FrameProtocol(asyncio.Protocol):
+    """Reads frames from a connection."""
+
+    def __init__(
+        self,
+        on_frame: Callable[["_FrameProtocol", frames.Frame], None],
+        on_end: Callable[["_FrameProtocol", str], None],
+        on_start: Callable[["_FrameProtocol"], None] = lambda conn: None,
+    ):
+        self._on_start = on_start
+        self._on_frame = on_frame
+        self._on_end = on_end
+        self._reader = frames.FrameReader()
+        self._loop = asyncio.get_running_loop()
+        self.transport: Any = None
+        self.boot: asyncio.Future[str] = self._loop.create_future()
+        self.heard_s = self._loop.time()
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        http1.set_options(transport)
+        self._on_start(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_s = self._loop.time()
+        try:
+            found = self._reader.feed(data)
+        except errors.PeerError as exc:
+            _logger.warning("bad_frame", error=str(exc))
+            self.transport.abort()
+            return
+        for frame in found:
+            self._on_frame(self, frame)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.boot.cancel()
+        self._on_end(self, str(exc) if exc else "closed")
+
+    def send(self, frame: frames.Frame) -> None:
+        """Sends a frame, unless the connection is closing."""
+        if not self.transport.is_closing():
+            self.transport.write(frames.encode(frame))
+
+
+class Link:
+    """This daemon's connection to another daemon, made when needed.
+
+    Attributes:
+        pending: Requests without an answer.
+        boot: The process that was sent the last request.
+    """
+
+    def __init__(
+        self,
+        to: directories.Registration,
+        on_report: Callable[[directories.Registration, frames.Report], None],
+    ):
+        self.to = to
+        self._on_report = on_report
+        self._conn: _FrameProtocol | None = None
+        self._connecting: asyncio.Task[_FrameProtocol] | None = None
+        self._pinged_s = 0.0
+        self.boot = ""
+        self.pending: dict[str, asyncio.Future[frames.Frame]] = {}
+
+    async def connect(self) -> _FrameProtocol:
+        """Returns the connection, made if there is none.
+
+        Raises:
+            NotSentError: It can't be made.
+        """
+        if self._conn is not None:
+            return self._conn
+        if self._connecting is None:
+            self._connecting = asyncio.create_task(self._open())
+            self._connecting.add_done_callback(self._opened)
+        try:
+            return await asyncio.shield(self._connecting)
+        except OSError as exc:
+            refused = isinstance(exc, ConnectionRefusedError)
+            raise NotSentError(f"{self.to.address}: {exc!r}", refused) from exc
+
+    async def _open(self) -> _FrameProtocol:
+        host, _, port = self.to.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, conn = await loop.create_connection(
+                lambda: _FrameProtocol(self._on_frame, self._on_end),
+                host,
+                int(port),
+            )
+            try:
+                await asyncio.wait((conn.boot,))
+            finally:
+                if not conn.boot.done():
+                    conn.transport.abort()
+        if conn.boot.cancelled():
+            raise ConnectionResetError("closed before the first message")
+        self._conn = conn
+        return conn
+
+    def _opened(self, task: asyncio.Task[_FrameProtocol]) -> None:
+        self._connecting = None
+        if not task.cancelled():
+            # Marks the exception as seen; each waiter raises it itself.
+            task.exception()
+
+    async def call(self, frame: frames.Request | frames.Ask) -> frames.Frame:
+        """Sends a request and returns what came back.
+
+        A request that is cancelled tells the other daemon.
+
+        Raises:
+            NotSentError: Nothing was sent.
+            LinkLostError: The connection ended without an answer.
+        """
+        conn = await self.connect()
+        self.boot = conn.boot.result()
+        fut: asyncio.Future[frames.Frame] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.pending[frame.attempt] = fut
+        if conn.transport.is_closing():
+            raise NotSentError(f"{self.to.address}: closing")
+        if len(self.pending) == 1:
+            conn.heard_s = asyncio.get_running_loop().time()
+        conn.send(frame)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if isinstance(frame, frames.Request):
+                conn.send(frames.Cancel(frame.attempt))
+            raise
+        finally:
+            self.pending.pop(frame.attempt, None)
+
+    def _on_frame(self, conn: _FrameProtocol, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Hello) and not conn.boot.done():
+            conn.boot.set_result(frame.boot)
+        if isinstance(frame, frames.Report):
+            self._on_report(self.to, frame)
+        if isinstance(frame, frames.Answer | frames.Failure):
+            fut = self.pending.get(frame.attempt)
+            if fut is not None and not fut.done():
+                fut.set_result(frame)
+
+    def _on_end(self, conn: _FrameProtocol, why: str) -> None:
+        if conn is not self._conn:
+            return
+        self._conn = None
+        for fut in self.pending.values():
+            if not fut.done():
+                fut.set_exception(LinkLostError(f"{self.to.address}: {why}"))
+
+    def check(self, now_s: float) -> None:
+        """Pings a quiet connection, and closes a silent one."""
+        conn = self._conn
+        if conn is None or not self.pending:
+            return
+        quiet_s = now_s - conn.heard_s
+        if quiet_s > SILENCE_S:
+            _logger.warning("link_silent", daemon=self.to.daemon)
+            conn.transport.abort()
+        elif quiet_s > PING_AFTER_S and now_s - self._pinged_s > PING_AFTER_S:
+            self._pinged_s = now_s
+            conn.send(frames.Ping())
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._conn is not None:
+            self._conn.transport.abort()
+
+
+class Links:
+    """Links by daemon."""
+
+    def __init__(
+        self,
+        on_report: Callable[[directories.Registration, frames.Report], None],
+    ):
+        self._on_report = on_report
+        self._links: dict[ids.DaemonId, Link] = {}
+        self._checker: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts to look for silent links."""
+        self._checker = asyncio.create_task(self._check())
+
+    def close(self) -> None:
+        """Closes all links."""
+        if self._checker is not None:
+            self._checker.cancel()
+        for link in self._links.values():
+            link.close()
+
+    def to(self, registration: directories.Registration) -> Link:
+        """Returns the link to a daemon."""
+        link = self._links.get(registration.daemon)
+        if link is None or link.to.address != registration.address:
+            if link is not None:
+                link.close()
+            link = Link(registration, self._on_report)
+            self._links[registration.daemon] = link
+        return link
+
+    def forget(self, daemon: ids.DaemonId) -> None:
+        """Closes the link to a daemon that is gone, unless it is in use."""
+        link = self._links.get(daemon)
+        if link is not None and not link.pending:
+            del self._links[daemon]
+            link.close()
+
+    async def _check(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_S)
+            for link in list(self._links.values()):
+                link.check(loop.time())
+
+
+class LinkServer:
+    """Takes requests of other daemons."""
+
+    def __init__(self, address: ids.Address, handler: ingress.Ingress):
+        self._address = address
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._conns: set[_FrameProtocol] = set()
+
+    async def start(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connected, host, int(port), backlog=512
+        )
+
+    def close(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self._conns):
+            conn.transport.close()
+
+    def _connected(self) -> _FrameProtocol:
+        conn = _FrameProtocol(self._on_frame, self._on_end, self._greet)
+        self._conns.add(conn)
+        return conn
+
+    def _greet(self, conn: _FrameProtocol) -> None:
+        conn.send(self._handler.hello())
+
+    def _on_end(self, conn: _FrameProtocol, why: str) -> None:
+        del why
+        self._conns.discard(conn)
+
+    def _on_frame(self, conn: _FrameProtocol, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Request):
+            self._reply(conn, self._handler.submit(frame))
+        elif isinstance(frame, frames.Ask):
+            self._reply(conn, self._handler.ask(frame))
+        elif isinstance(frame, frames.Cancel):
+            self._handler.cancel(frame.attempt)
+        elif isinstance(frame, frames.Ping):
+            conn.send(self._handler.pong())
+
+    def _reply(
+        self, conn: _FrameProtocol, fut: "asyncio.Future[frames.Frame]"
+    ) -> None:
+        fut.add_done_callback(functools.partial(_send_result, conn))
+
+
+def _send_result(
+    conn: _FrameProtocol, fut: "asyncio.Future[frames.Frame]"
+) -> None:
+    if not fut.cancelled():
+        conn.send(fut.result())
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -0,0 +1,278 @@
+"""HTTP in: connections of callers, and of those who ask for state.
+
+Requests that a caller sends ahead run at the same time and are answered in
+order. A caller that closes its connection cancels its requests; one that
+sends further requests is still there.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import loguru
+
+from buckthorn_adapters import http1
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import virtual_hosts
+from buckthorn_sidecar import settings
+
+# More requests sent ahead than this are left unread.
+MAX_AHEAD = 64
+# Time for a caller to read the last answer before the connection is closed.
+LINGER_S = 1.0
+# How often idle connections are looked at, in seconds.
+CHECK_S = 0.5
+BACKLOG = 1_024
+
+Handler = Callable[[http1.Request], Awaitable[http1.Answer]]
+_logger = loguru.logger.bind(module=__name__)
+
+DEFAULT_LIMITS = virtual_hosts.CallerLimits(
+    settings.DEFAULT_MAX_HEADER_BYTES,
+    settings.DEFAULT_MAX_BODY_BYTES,
+    settings.DEFAULT_HEADER_TIMEOUT_S,
+    settings.DEFAULT_IDLE_TIMEOUT_S,
+)
+
+
+class _Slot:
+    """A request in the order of its connection, with its answer to be."""
+
+    __slots__ = ("data", "req", "task")
+
+    def __init__(self, req: http1.Request | None):
+        self.req = req
+        self.task: asyncio.Task[None] | None = None
+        self.data: bytes | None = None
+
+
+class ListenerConnection(asyncio.Protocol):
+    """A connection to a listener."""
+
+    def __init__(self, listener: "Listener"):
+        self._listener = listener
+        self._transport: Any = None
+        self._slots: collections.deque[_Slot] = collections.deque()
+        self._loop = asyncio.get_running_loop()
+        limits = listener.limits
+        self._reader = http1.RequestReader(
+            self._on_request,
+            self._on_expect,
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+        )
+        self._active_s = self._loop.time()
+        self._began_s = self._active_s
+        self._closing = False
+        self._last_asked = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in flight or being read."""
+        return bool(self._slots) or self._reader.reading
+
+    def connection_made(self, transport: Any) -> None:
+        """Takes the transport."""
+        self._transport = transport
+        http1.set_options(transport)
+        self._listener.conns.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the caller's requests."""
+        del exc
+        self._listener.conns.discard(self)
+        self._cancel_all()
+
+    def eof_received(self) -> bool:
+        """Cancels the requests of a caller that has closed."""
+        self._cancel_all()
+        return False
+
+    def _cancel_all(self) -> None:
+        for slot in self._slots:
+            if slot.task is not None:
+                slot.task.cancel()
+        self._slots.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Reads requests."""
+        if self._closing or self._last_asked:
+            return
+        was_reading = self._reader.reading
+        self._active_s = self._loop.time()
+        if not was_reading:
+            self._began_s = self._active_s
+            limits = self._listener.limits
+            self._reader.max_header_bytes = limits.max_header_bytes
+            self._reader.max_body_bytes = limits.max_body_bytes
+        try:
+            self._reader.feed(data)
+        except errors.RequestError as exc:
+            _logger.info("bad_request", error=str(exc))
+            self._refuse_and_close(exc)
+
+    def _on_expect(self) -> None:
+        if not self._slots:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _on_request(self, req: http1.Request) -> None:
+        if self._closing or self._last_asked:
+            return
+        slot = _Slot(req)
+        self._slots.append(slot)
+        if not req.keep_alive:
+            self._last_asked = True
+        slot.task = self._loop.create_task(self._run(slot))
+        if len(self._slots) >= MAX_AHEAD:
+            self._transport.pause_reading()
+
+    async def _run(self, slot: _Slot) -> None:
+        req = slot.req
+        assert req is not None
+        try:
+            answer = await self._listener.handler(req)
+            status, headers, body = answer.status, answer.headers, answer.body
+        except errors.RequestError as exc:
+            status, headers, body = refusal(exc)
+        except Exception:
+            _logger.exception("request_handler_failed")
+            status, headers, body = 500, [], b"internal error\n"
+        last = self._listener.draining or not req.keep_alive
+        close = last and slot is self._slots[-1]
+        slot.data = http1.encode_answer(
+            status, headers, body, close, head_only=req.method == "HEAD"
+        )
+        if close:
+            self._last_asked = True
+        self._write_ready()
+
+    def _write_ready(self) -> None:
+        while self._slots and self._slots[0].data is not None:
+            data = self._slots.popleft().data
+            assert data is not None
+            self._transport.write(data)
+        if len(self._slots) < MAX_AHEAD and not self._closing:
+            self._transport.resume_reading()
+        self._active_s = self._loop.time()
+        if self._last_asked and not self._slots:
+            self._close_gently()
+
+    def _refuse_and_close(self, exc: errors.RequestError) -> None:
+        """Answers what can't be read, behind the answers still to come."""
+        status, headers, body = refusal(exc)
+        slot = _Slot(None)
+        slot.data = http1.encode_answer(status, headers, body, True)
+        self._slots.append(slot)
+        self._last_asked = True
+        self._write_ready()
+
+    def _close_gently(self) -> None:
+        # Closing with unread bytes resets the connection, and a reset can
+        # destroy the answer before the caller has read it.
+        if self._closing:
+            return
+        self._closing = True
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(LINGER_S, self._transport.close)
+
+    def check(self, now_s: float) -> None:
+        """Closes the connection if it takes or stays idle too long."""
+        if self._closing:
+            return
+        limits = self._listener.limits
+        if self._reader.in_headers:
+            if now_s - self._began_s > limits.header_timeout_s:
+                self._refuse_and_close(
+                    errors.RequestError(
+                        errors.Code.HEADERS_SLOW, "the headers took too long"
+                    )
+                )
+        elif not self.busy and now_s - self._active_s > limits.idle_timeout_s:
+            self._transport.close()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is in flight."""
+        if not self.busy:
+            self._close_gently()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self._transport.abort()
+
+
+class Listener:
+    """Listens on one address.
+
+    Attributes:
+        limits: What callers may send.
+        draining: Whether connections are closed after their last answer.
+    """
+
+    def __init__(self, address: ids.Address, handler: Handler):
+        self._address = address
+        self.handler = handler
+        self.limits = DEFAULT_LIMITS
+        self.draining = False
+        self.conns: set[ListenerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._checker: asyncio.Task[None] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in flight or being read."""
+        return any(conn.busy for conn in self.conns)
+
+    async def start(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ListenerConnection(self), host, int(port), backlog=BACKLOG
+        )
+        self._checker = asyncio.create_task(self._check())
+
+    def drain(self) -> None:
+        """Closes each connection after the answers it waits for."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Closes the connections on which nothing is in flight."""
+        for conn in list(self.conns):
+            conn.close_if_idle()
+
+    def stop_listening(self) -> None:
+        """Takes no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close(self) -> None:
+        """Stops listening and closes all connections."""
+        self.stop_listening()
+        if self._checker is not None:
+            self._checker.cancel()
+        for conn in list(self.conns):
+            conn.close()
+
+    async def _check(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_S)
+            for conn in list(self.conns):
+                conn.check(loop.time())
+
+
+def refusal(exc: errors.RequestError) -> tuple[int, http1.Headers, bytes]:
+    """Returns the answer to a request that the daemon answers itself."""
+    status = exc.trait.http_status
+    headers = [("Content-Type", "text/plain")]
+    if exc.retry_after_s is not None and exc.trait.not_run:
+        headers.append(("Retry-After", f"{exc.retry_after_s:.3f}"))
+    return status, headers, f"{exc}\n".encode()
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/ports.py
@@ -0,0 +1,127 @@
+"""What a sidecar needs from outside: headers, a keyed log, announcements."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+from typing import Protocol
+
+from buckthorn_adapters import http1
+from buckthorn_core import ids
+from buckthorn_core import virtual_hosts
+
+
+class CallerRequest(NamedTuple):
+    """What a caller's headers say.
+
+    Attributes:
+        request_id: Id of this attempt of the caller.
+        host: The host name asked for.
+        left_s: How long the caller waits, in seconds; None if not said.
+    """
+
+    request_id: ids.RequestId
+    host: str
+    left_s: float | None
+
+
+class UpstreamAnswer(NamedTuple):
+    """What an upstream's answer says of itself.
+
+    Attributes:
+        request_id: The request that it answers; None if not said.
+        not_run: Whether it states that the request did not run.
+        wrong_instance: Whether another instance has the address.
+        genuine: Whether it carries the upstream's proof.
+        idle_limit_s: How long the connection is kept idle; None if not said.
+    """
+
+    request_id: ids.RequestId | None
+    not_run: bool
+    wrong_instance: bool
+    genuine: bool
+    idle_limit_s: float | None
+
+
+class Dialect(Protocol):
+    """Headers by which callers and upstreams state what concerns the mesh."""
+
+    def read_request(self, req: http1.Request) -> CallerRequest:
+        """Reads a caller's headers.
+
+        Raises:
+            errors.RequestError: They are missing or contradict each other.
+        """
+
+    def upstream_headers(
+        self,
+        headers: http1.Headers,
+        left_s: float,
+        caller_service: ids.ServiceName,
+        instance: ids.InstanceId,
+    ) -> http1.Headers:
+        """Returns the headers of a request for an upstream."""
+
+    def read_answer(self, answer: http1.Answer) -> UpstreamAnswer:
+        """Reads an upstream's answer."""
+
+
+class Record(NamedTuple):
+    """A record of a keyed topic.
+
+    Attributes:
+        key: Its key.
+        value: Its value; empty where the key was dropped.
+        offset: Its place in the topic.
+    """
+
+    key: str
+    value: bytes
+    offset: ids.Offset
+
+
+class Batch(NamedTuple):
+    """Records, and the offset to read on from."""
+
+    records: Sequence[Record]
+    end: ids.Offset
+
+
+class KeyedLog(Protocol):
+    """A topic of records with keys, of which the newest are kept for good."""
+
+    async def newest(self, topic: str) -> Batch:
+        """Returns the newest record of each key.
+
+        Raises:
+            errors.LogError: The log did not answer.
+        """
+
+    async def read(
+        self, topic: str, start: ids.Offset, wait_s: float
+    ) -> Batch | None:
+        """Returns the records from an offset on, once there are any.
+
+        Returns:
+            The records, none if there were none in time; None if records
+            from that offset on have expired.
+
+        Raises:
+            errors.LogError: The log did not answer.
+        """
+
+    async def append(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record; an empty value drops the key.
+
+        Raises:
+            errors.LogError: The log did not answer; the record may be there.
+        """
+
+
+class VersionDecoder(Protocol):
+    """Decodes a configuration record."""
+
+    def __call__(self, value: bytes) -> virtual_hosts.Version:
+        """Returns the version in a record's value.
+
+        Raises:
+            errors.ConfigError: The value isn't a whole, closed version.
+        """
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -0,0 +1,227 @@
+"""Wires the parts of a sidecar: start, planned stop, close."""
+
+import asyncio
+from typing import NamedTuple
+
+import loguru
+
+from buckthorn_adapters import counters
+from buckthorn_adapters import http1
+from buckthorn_adapters import metrics
+from buckthorn_core import directories
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_core import lifetimes
+from buckthorn_core import virtual_hosts
+from buckthorn_sidecar import egress
+from buckthorn_sidecar import following
+from buckthorn_sidecar import ingress
+from buckthorn_sidecar import links
+from buckthorn_sidecar import listeners
+from buckthorn_sidecar import ports
+from buckthorn_sidecar import settings
+
+# Callers learn from two failed readiness checks, a second apart, that they
+# are to go elsewhere; until then they are served.
+LAME_DUCK_S = 2.3
+# What is left of the grace period for the end of the process, in seconds.
+EXIT_S = 0.5
+POLL_S = 0.05
+# How often versions that other daemons have are looked at, in seconds.
+HURRY_CHECK_S = 0.25
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Topics(NamedTuple):
+    """Where the log keeps what a sidecar needs.
+
+    Attributes:
+        configurations: Topic of configurations.
+        configuration_key: Key of the configuration in it.
+        members: Topic of this project's daemons.
+    """
+
+    configurations: str
+    configuration_key: str
+    members: str
+
+
+class Sidecar:
+    """The process beside an upstream."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        dialect: ports.Dialect,
+        log: ports.KeyedLog,
+        topics: Topics,
+        decode: ports.VersionDecoder,
+    ):
+        self._cfg = cfg
+        self.meter = metrics.Metrics(counters.SharedControlTraffic())
+        self.holder = virtual_hosts.VersionHolder()
+        self.directory = directories.Directory()
+        self.ingress = ingress.Ingress(cfg, dialect, self.meter)
+        self._egress = egress.Egress(
+            cfg, dialect, self.ingress, self.holder, self.directory, self.meter
+        )
+        self.callers = listeners.Listener(
+            cfg.callers_listen, self._egress.handle
+        )
+        self._link_server = links.LinkServer(cfg.daemons_listen, self.ingress)
+        self._members = following.MemberFollower(
+            cfg.daemon, self.directory, self._egress.forget, self.meter
+        )
+        applier = following.VersionApplier(
+            topics.configuration_key,
+            decode,
+            self.holder,
+            self._on_version,
+            self.meter,
+        )
+        self._configurations = following.TopicFollower(
+            log,
+            topics.configurations,
+            applier.on_record,
+            lambda keys: None,
+            self.meter,
+        )
+        self._member_topic = following.TopicFollower(
+            log,
+            topics.members,
+            self._members.on_record,
+            self._members.on_all,
+            self.meter,
+        )
+        self._registrar = following.Registrar(
+            log, topics.members, cfg.daemon, self.directory
+        )
+        self._members.on_own_record = self._registrar.look
+        self._hurrier: asyncio.Task[None] | None = None
+        self._stopping = False
+        self.meter.watch("buckthorn_version", lambda: self.holder.number)
+        self.meter.watch("buckthorn_ready", lambda: int(self.ready))
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers are to send requests here."""
+        return (
+            self.holder.current is not None
+            and self._member_topic.synced.is_set()
+            and not self._stopping
+        )
+
+    async def start(self) -> None:
+        """Starts to listen and to work.
+
+        Raises:
+            OSError: An address can't be listened on.
+        """
+        self._egress.links.start()
+        await self._link_server.start()
+        await self.callers.start()
+        self._configurations.start()
+        self._member_topic.start()
+        self._registrar.start()
+        self._hurrier = asyncio.create_task(self._hurry())
+        _logger.info("started", daemon=self._cfg.daemon)
+
+    async def drain(self) -> None:
+        """Stops taking work and waits for what is in flight."""
+        _logger.info("draining", daemon=self._cfg.daemon)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._cfg.grace_s - EXIT_S
+        self._stopping = True
+        self.ingress.stop_admitting()
+        self.callers.drain()
+        if self.ingress.lifetimes.state is lifetimes.UpstreamState.GONE:
+            await self._withdraw()
+        await asyncio.sleep(LAME_DUCK_S)
+        self.callers.stop_listening()
+        while loop.time() < end_s:
+            self.callers.close_idle()
+            if self.ingress.idle and not self.callers.busy:
+                break
+            await asyncio.sleep(POLL_S)
+        _logger.info("drained", daemon=self._cfg.daemon)
+
+    async def _withdraw(self) -> None:
+        try:
+            await self._registrar.withdraw()
+        except errors.LogError as exc:
+            _logger.warning("registration_failed", error=str(exc))
+
+    def close(self) -> None:
+        """Stops everything at once."""
+        if self._hurrier is not None:
+            self._hurrier.cancel()
+        self._registrar.close()
+        self._member_topic.close()
+        self._configurations.close()
+        self.callers.close()
+        self._link_server.close()
+        self._egress.links.close()
+        self.ingress.close()
+        _logger.info("stopped", daemon=self._cfg.daemon)
+
+    def announce(self, said: lifetimes.Announcement) -> None:
+        """Takes an announcement of the upstream beside this daemon."""
+        if said.service != self._cfg.service:
+            _logger.warning(
+                "foreign_announcement",
+                instance=said.instance,
+                service=said.service,
+            )
+            return
+        self.ingress.announce(said)
+        cfg = self._cfg
+        self._registrar.want(
+            directories.Registration(
+                cfg.daemon,
+                cfg.daemons_listen,
+                cfg.service,
+                cfg.site,
+                cfg.region,
+                said.slots,
+            )
+        )
+
+    def leave(
+        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
+    ) -> None:
+        """Takes the word of an upstream that it leaves."""
+        self.ingress.leave(instance, born_ms, now_ms)
+
+    async def answer_readiness(self, req: http1.Request) -> http1.Answer:
+        """Answers whether callers are to send requests here."""
+        del req
+        return text_answer(200 if self.ready else 503, b"")
+
+    async def answer_metrics(self, req: http1.Request) -> http1.Answer:
+        """Answers with all metrics."""
+        del req
+        return text_answer(200, self.meter.exposition())
+
+    def _on_version(self, version: virtual_hosts.Version) -> None:
+        self.callers.limits = version.limits
+        self.ingress.version = version.number
+        names = {route.name for route in version.routes}
+        self.ingress.queue.keep_only(names)
+        self._egress.keep_only(names)
+
+    async def _hurry(self) -> None:
+        """Reads the configuration again when another daemon has a newer one."""
+        while True:
+            await asyncio.sleep(HURRY_CHECK_S)
+            if self._egress.heard_version > self.holder.number:
+                self._configurations.hurry()
+
+
+def text_answer(status: int, body: bytes) -> http1.Answer:
+    """Returns an answer with a text."""
+    answer = http1.Answer()
+    answer.status = status
+    answer.headers = [("Content-Type", "text/plain; version=0.0.4")]
+    answer.body = body
+    return answer
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/upstreams.py
@@ -0,0 +1,154 @@
+"""Exchanges with the upstream beside this daemon.
+
+A connection is used again only after an exchange in which nothing unexpected
+was seen: bytes behind an answer, an answer of another request or one that
+came before the whole request had left rule it out.
+"""
+
+import asyncio
+import contextlib
+from typing import NamedTuple
+
+import loguru
+
+from buckthorn_adapters import http1
+from buckthorn_core import errors
+from buckthorn_core import ids
+from buckthorn_sidecar import ports
+
+# The upstream is on the same host; a full accept queue drops the opening
+# packet for a second.
+CONNECT_TIMEOUT_S = 0.5
+# Upstreams close idle connections after 10 s and may say less. A connection
+# is given up at this share of what they say, and after this time otherwise.
+IDLE_SHARE = 0.5
+IDLE_S = 4.0
+MAX_IDLE = 64
+# Answers of both meshes have at most 30 KB.
+MAX_ANSWER_BYTES = 33_554_432
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class Exchange(NamedTuple):
+    """An answer of the upstream with what it says of itself."""
+
+    answer: http1.Answer
+    says: ports.UpstreamAnswer
+
+
+class UpstreamPool:
+    """Connections to the upstream."""
+
+    def __init__(self, dialect: ports.Dialect):
+        self._dialect = dialect
+        self._idle: list[http1.Connection] = []
+        self._address = ids.Address("")
+
+    def set_address(self, address: ids.Address) -> None:
+        """Changes where the upstream listens, and drops old connections."""
+        self._address = address
+        self.close()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.close()
+
+    async def take(self) -> http1.Connection:
+        """Returns a connection for one exchange.
+
+        Raises:
+            errors.RequestError: None can be made; nothing was sent.
+        """
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            conn = self._idle.pop()
+            limit_s = IDLE_S
+            if conn.idle_limit_s is not None:
+                limit_s = min(IDLE_S, conn.idle_limit_s * IDLE_SHARE)
+            if conn.clean and now_s - conn.idle_since_s < limit_s:
+                return conn
+            conn.close()
+        try:
+            return await http1.connect(
+                self._address, CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES
+            )
+        except OSError as exc:
+            raise errors.RequestError(
+                errors.Code.NO_UPSTREAM,
+                f"the upstream at {self._address} can't be reached: {exc!r}",
+                CONNECT_TIMEOUT_S,
+            ) from exc
+
+    async def exchange(
+        self,
+        conn: http1.Connection,
+        method: str,
+        data: bytes,
+        request_id: ids.RequestId,
+    ) -> Exchange:
+        """Sends a request and returns its answer.
+
+        An exchange that is cancelled closes its connection, which makes the
+        upstream drop the request.
+
+        Raises:
+            errors.RequestError: There was no complete answer; the request
+                may have run.
+        """
+        done = False
+        try:
+            conn.send(data, head_only=method == "HEAD")
+            exchange, foreign = await self._receive(conn, request_id)
+            done = True
+        except http1.AnswerCutError as exc:
+            raise errors.RequestError(
+                errors.Code.UPSTREAM_FAILED, str(exc)
+            ) from exc
+        finally:
+            if not done:
+                conn.close()
+        reusable = (
+            exchange.answer.keep_alive
+            and not foreign
+            and conn.clean
+            and conn.all_sent
+        )
+        if reusable:
+            self._put(conn, exchange.says.idle_limit_s)
+        else:
+            conn.close()
+        return exchange
+
+    async def _receive(
+        self, conn: http1.Connection, request_id: ids.RequestId
+    ) -> tuple[Exchange, bool]:
+        """Returns the request's answer, and whether others came before it."""
+        foreign = False
+        while True:
+            answer = await conn.receive()
+            says = self._dialect.read_answer(answer)
+            if says.request_id in (None, request_id):
+                return Exchange(answer, says), foreign
+            foreign = True
+            _logger.warning(
+                "foreign_answer", request=request_id, other=says.request_id
+            )
+
+    def _put(self, conn: http1.Connection, limit_s: float | None) -> None:
+        if len(self._idle) >= MAX_IDLE:
+            conn.close()
+            return
+        conn.used = True
+        conn.idle_since_s = asyncio.get_running_loop().time()
+        conn.idle_limit_s = limit_s
+        self._idle.append(conn)
+
+
+async def finish(task: "asyncio.Task[None]") -> None:
+    """Cancels a task and waits for its end."""
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
