--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -22,7 +22,9 @@
 # Events that explain single requests, each as often as this in a second: a
 # daemon refuses a few hundred requests a second in a burst, and a line costs
 # about 50 us.
-RATED = frozenset({"request", "bad_request", "foreign_answer", "link_lost"})
+RATED = frozenset(
+    {"request", "no_route", "bad_request", "foreign_answer", "link_lost"}
+)
 RATED_PER_S = 100
 # Fields that say whose state changed; events of others are other events.
 SUBJECTS = ("job", "service", "partition")
--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -20,15 +20,15 @@
 SITE_TRIP_S = 0.0005
 REGION_TRIP_S = 0.002
 REMOTE_TRIP_S = 0.04
-# What a crossing is worth beside its trip, in seconds of waiting. Bytes
-# between zones cost an eighth of those between regions.
-SITE_CROSSING_S = 0.02
-REGION_CROSSING_S = 0.25
+# What a crossing is worth beside its trip, as a share of the route's target:
+# bytes between sites and, four times as much, between regions are paid.
+SITE_CROSSING = 0.1
+REGION_CROSSING = 0.4
 # An answer after its target earns a tenth to a third of its value.
 LATE_PENALTY_S = 1.0
 # Candidates whose scores differ by less than this share of a run are equal;
 # otherwise all daemons would pick the same one between two reports.
-SPREAD = 0.25
+SPREAD = 0.1
 # A report describes the load for this long, in seconds.
 REPORT_S = 1.0
 # A daemon that refused gets no request for this long, in seconds, unless
@@ -135,6 +135,7 @@
         self,
         candidates: Sequence[directories.Registration],
         now_s: float,
+        target_s: float,
         left_to_target_s: float,
     ) -> directories.Registration | None:
         """Returns the candidate to send a request to, or None.
@@ -142,6 +143,7 @@
         Args:
             candidates: Registrations of the service, not tried yet.
             now_s: Steady time in seconds.
+            target_s: The route's target, in seconds.
             left_to_target_s: Time left until the request's target.
         """
         usable = [
@@ -150,11 +152,16 @@
         if not usable:
             return None
         return min(
-            usable, key=lambda c: self._score(c, now_s, left_to_target_s)
+            usable,
+            key=lambda c: self._score(c, now_s, target_s, left_to_target_s),
         )
 
     def _score(
-        self, to: directories.Registration, now_s: float, left_s: float
+        self,
+        to: directories.Registration,
+        now_s: float,
+        target_s: float,
+        left_s: float,
     ) -> float:
         seen = self.seen(to)
         load = seen.load
@@ -165,9 +172,11 @@
         queue_s = max(0, busy + 1 - slots) * run_s / slots
         # Instances get slower towards their last slot, and reports are late.
         crowd_s = run_s * 0.5 * min(1.0, busy / slots) ** 2
-        trip_s, crossing_s = self._distance(to)
+        trip_s, crossing = self._distance(to)
         total_s = trip_s + queue_s + crowd_s + run_s
-        score = total_s + crossing_s + self._rng.random() * SPREAD * run_s
+        score = (
+            total_s + crossing * target_s + self._rng.random() * SPREAD * run_s
+        )
         if total_s > left_s:
             score += LATE_PENALTY_S
         if fresh and load.slots == 0:
@@ -180,7 +189,7 @@
         if to.daemon == self._origin.daemon:
             return 0.0, 0.0
         if to.region != self._origin.region:
-            return REMOTE_TRIP_S, REGION_CROSSING_S
+            return REMOTE_TRIP_S, REGION_CROSSING
         if to.site != self._origin.site:
-            return REGION_TRIP_S, SITE_CROSSING_S
+            return REGION_TRIP_S, SITE_CROSSING
         return SITE_TRIP_S, 0.0
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -152,6 +152,16 @@
             )
         route = self._holder.match(says.host, req.target)
         if route is None:
+            self._meter.count(
+                "buckthorn_request_errors", service="none", code="no_route"
+            )
+            _logger.info(
+                "no_route",
+                request=says.request_id,
+                host=says.host,
+                path=req.target,
+                version=self._holder.number,
+            )
             raise errors.RequestError(
                 errors.Code.NO_ROUTE, f"{says.host}{req.target}"
             )
@@ -269,7 +279,10 @@
     def _choose(self, call: Call) -> directories.Registration:
         now_s = asyncio.get_running_loop().time()
         to = self._placements.choose(
-            self._candidates(call), now_s, call.target_at_s - now_s
+            self._candidates(call),
+            now_s,
+            call.route.target_s,
+            call.target_at_s - now_s,
         )
         if to is None:
             raise errors.RequestError(
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -21,9 +21,11 @@
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
 # Records that come within this time are read with one call, in seconds.
-GATHER_S = 0.1
-# Pause between hurried reads, in seconds.
-HURRY_PAUSE_S = 0.5
+GATHER_S = 0.5
+# A version that another daemon has is read without waiting for the log's
+# word after this time, in seconds: long enough for the usual way, short
+# against the time in which it must be in force.
+HURRY_AFTER_S = 1.0
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -62,7 +64,7 @@
         self._read: asyncio.Task[ports.Batch | None] | None = None
         self._rng = random.Random()
         self._lost = False
-        self._hurried_s = 0.0
+        self._behind_s: float | None = None
         self.synced = asyncio.Event()
 
     def start(self) -> None:
@@ -74,14 +76,22 @@
         if self._task is not None:
             self._task.cancel()
 
-    def hurry(self) -> None:
-        """Reads again now: another daemon has seen more."""
-        now_s = asyncio.get_running_loop().time()
-        if self._read is None or now_s - self._hurried_s < HURRY_PAUSE_S:
-            return
-        self._hurried_s = now_s
-        self._next = None
-        self._read.cancel()
+    def compare(self, behind: bool, now_s: float) -> None:
+        """Reads again if this daemon stays behind others.
+
+        Args:
+            behind: Whether another daemon has seen more.
+            now_s: Steady time in seconds.
+        """
+        if not behind or self._read is None:
+            self._behind_s = None
+        elif self._behind_s is None:
+            self._behind_s = now_s
+        elif now_s - self._behind_s >= HURRY_AFTER_S:
+            _logger.warning("log_read_again", topic=self._topic)
+            self._behind_s = None
+            self._next = None
+            self._read.cancel()
 
     async def _follow(self) -> None:
         pause_s = MIN_PAUSE_S
@@ -93,6 +103,12 @@
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
                 pause_s = min(MAX_PAUSE_S, 2 * pause_s)
                 continue
+            except Exception:
+                # A fault in one record must not end the following of all.
+                _logger.exception("follower_failed", topic=self._topic)
+                self._next = None
+                await asyncio.sleep(MAX_PAUSE_S)
+                continue
             pause_s = MIN_PAUSE_S
             if self._lost:
                 self._lost = False
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -214,8 +214,10 @@
         """Reads the configuration again when another daemon has a newer one."""
         while True:
             await asyncio.sleep(HURRY_CHECK_S)
-            if self._egress.heard_version > self.holder.number:
-                self._configurations.hurry()
+            self._configurations.compare(
+                self._egress.heard_version > self.holder.number,
+                asyncio.get_running_loop().time(),
+            )
 
 
 def text_answer(status: int, body: bytes) -> http1.Answer:
