--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -123,7 +123,7 @@
             return
         slot = _Slot(req)
         self._slots.append(slot)
-        if not req.keep_alive:
+        if not req.keep_alive or self._listener.draining:
             self._last_asked = True
         slot.task = self._loop.create_task(self._run(slot))
         if len(self._slots) >= MAX_AHEAD:
@@ -194,8 +194,14 @@
         elif not self.busy and now_s - self._active_s > limits.idle_timeout_s:
             self._transport.close()
 
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is in flight."""
+    def drain(self) -> None:
+        """Takes no request that has not begun, and closes when answered.
+
+        A caller that keeps sending ahead would never leave the connection
+        idle.
+        """
+        if not self._reader.reading:
+            self._last_asked = True
         if not self.busy:
             self._close_gently()
 
@@ -242,11 +248,8 @@
     def drain(self) -> None:
         """Closes each connection after the answers it waits for."""
         self.draining = True
-
-    def close_idle(self) -> None:
-        """Closes the connections on which nothing is in flight."""
         for conn in list(self.conns):
-            conn.close_if_idle()
+            conn.drain()
 
     def stop_listening(self) -> None:
         """Takes no new connections."""
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -140,7 +140,6 @@
         await asyncio.sleep(LAME_DUCK_S)
         self.callers.stop_listening()
         while loop.time() < end_s:
-            self.callers.close_idle()
             if self.ingress.idle and not self.callers.busy:
                 break
             await asyncio.sleep(POLL_S)
