Keep queues short, cross regions only to free slots, check health at start

Causes: with more load than slots, requests waited until their expected end met the target, so half of them ended late; full regions sent work to each other over the paid link; after a restart the gate stayed closed until the next announcement; while a daemon left, its upstream's slots were unused for 2.3 s; repeats of requests and of their calls together passed the budget.

Changes: a request is refused when half of the time to its start would be spent waiting; waiting work goes by priority, then by its caller's deadline; a remote upstream must have reported a free slot within 1 s; a daemon that starts asks its upstream's health; the gate closes at the end of the lame duck time; shares of the retry budget leave room for calls.

--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -11,9 +11,8 @@
 class Registration(msgspec.Struct, frozen=True):
     """A daemon's record in the keyed topic of members.
 
-    It holds only what is fixed while the host serves, so that a daemon writes
-    once in its host's life. What changes (lifetime, state, load) is learnt
-    from the daemon itself.
+    It holds only what rarely changes, so that a daemon writes a few times in
+    its host's life. State and load are learnt from the daemon itself.
 
     Attributes:
         daemon: The daemon.
@@ -22,6 +21,10 @@
         site: Its availability zone.
         region: Its region.
         slots: How many requests its upstream runs at the same time.
+        closed: The last lifetime that has said it leaves; empty if none has.
+            A daemon that starts again must not send it requests, whatever
+            late announcements say.
+        closed_born_ms: When that lifetime started, in ms since the epoch.
     """
 
     daemon: ids.DaemonId
@@ -30,6 +33,8 @@
     site: ids.SiteName
     region: ids.RegionName
     slots: int
+    closed: ids.InstanceId = ids.InstanceId("")
+    closed_born_ms: int = 0
 
 
 _encoder = msgspec.json.Encoder()
--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -13,6 +13,7 @@
 
 # Ids of lifetimes that left before they were known here.
 MAX_LEFT = 256
+_UNKNOWN = ids.ServiceName("")
 
 
 class UpstreamState(enum.Enum):
@@ -92,6 +93,24 @@
             return Change.CLOSED
         return Change.NEWS
 
+    def assume(
+        self, instance: ids.InstanceId, slots: int, address: ids.Address
+    ) -> Change:
+        """Applies a good health answer, until the upstream announces itself.
+
+        Args:
+            instance: The id in the answer.
+            slots: How many requests it runs, as far as known.
+            address: Where it listens.
+        """
+        if self.current is not None or instance in self._left:
+            return Change.NOTHING
+        self.current = Announcement(
+            instance, -1, -1, _UNKNOWN, address, slots, UpstreamState.READY, 0.0
+        )
+        self.state = UpstreamState.READY
+        return Change.NEW_LIFETIME
+
     def leave(
         self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
     ) -> Change:
--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -3,12 +3,15 @@
 Each candidate is scored with the time until its answer: the way there, the
 wait for a slot and the run, by the last load that its daemon reported and by
 what this daemon has sent since. A crossing of the paid link between regions
-counts as additional time, so that a request leaves its region only when the
-instances of the region can't answer within its target.
+counts as additional time, and it is made only to an instance that has just
+reported a free slot: when both regions are full, a crossing is paid for
+nothing. An instance of another region without a recent report is asked for
+one first.
 """
 
 from collections.abc import Sequence
 import random
+from typing import NamedTuple
 
 import msgspec
 
@@ -84,6 +87,13 @@
     region: ids.RegionName
 
 
+class Choice(NamedTuple):
+    """The daemon to send to, if any, and those to ask for a report."""
+
+    to: directories.Registration | None
+    ask: Sequence[directories.Registration] = ()
+
+
 class Placements:
     """Scores candidates by reported load, distance and failures."""
 
@@ -137,23 +147,54 @@
         now_s: float,
         target_s: float,
         left_to_target_s: float,
-    ) -> directories.Registration | None:
-        """Returns the candidate to send a request to, or None.
+        region_full: bool,
+    ) -> Choice:
+        """Returns the candidate to send a request to.
 
         Args:
             candidates: Registrations of the service, not tried yet.
             now_s: Steady time in seconds.
             target_s: The route's target, in seconds.
             left_to_target_s: Time left until the request's target.
+            region_full: Whether an instance of the region has refused the
+                request because it is full.
         """
-        usable = [
-            c for c in candidates if self.seen(c).avoid_until_s <= now_s
-        ] or list(candidates)
+        near: list[directories.Registration] = []
+        far: list[directories.Registration] = []
+        for c in candidates:
+            (near if c.region == self._origin.region else far).append(c)
+        usable = [c for c in near if self._takes_work(c, now_s)]
+        usable.extend(c for c in far if self._has_room(c, now_s))
+        ask = [c for c in far if not self._is_fresh(c, now_s)]
+        if not usable and not region_full:
+            # Nothing is known to serve: try what has not been tried.
+            usable = near or far
         if not usable:
-            return None
-        return min(
-            usable,
-            key=lambda c: self._score(c, now_s, target_s, left_to_target_s),
+            return Choice(None, ask)
+        scores = {
+            c.daemon: self._score(c, now_s, target_s, left_to_target_s)
+            for c in usable
+        }
+        best = min(usable, key=lambda c: scores[c.daemon])
+        late = scores[best.daemon] >= LATE_PENALTY_S
+        return Choice(best, ask if late else ())
+
+    def _is_fresh(self, to: directories.Registration, now_s: float) -> bool:
+        return now_s - self.seen(to).reported_s <= REPORT_S
+
+    def _takes_work(self, to: directories.Registration, now_s: float) -> bool:
+        seen = self.seen(to)
+        closed = self._is_fresh(to, now_s) and seen.load.slots == 0
+        return seen.avoid_until_s <= now_s and not closed
+
+    def _has_room(self, to: directories.Registration, now_s: float) -> bool:
+        seen = self.seen(to)
+        load = seen.load
+        busy = seen.sent_since + load.running + load.waiting
+        return (
+            seen.avoid_until_s <= now_s
+            and self._is_fresh(to, now_s)
+            and busy < load.slots
         )
 
     def _score(
@@ -165,7 +206,7 @@
     ) -> float:
         seen = self.seen(to)
         load = seen.load
-        fresh = now_s - seen.reported_s <= REPORT_S
+        fresh = self._is_fresh(to, now_s)
         busy = seen.sent_since + (load.running + load.waiting if fresh else 0)
         slots = max(1, load.slots)
         run_s = max(load.run_s, slot_queues.MIN_RETRY_AFTER_S)
@@ -179,8 +220,6 @@
         )
         if total_s > left_s:
             score += LATE_PENALTY_S
-        if fresh and load.slots == 0:
-            score += 2 * LATE_PENALTY_S
         if seen.failing > FAILING_SHARE:
             score += LATE_PENALTY_S * seen.failing
         return score
--- a/packages/core/buckthorn_core/retry_shares.py
+++ b/packages/core/buckthorn_core/retry_shares.py
@@ -4,16 +4,23 @@
 daemon can't ask the others at each retry, so it keeps to a share that is safe
 whatever the others do: a fraction of its own requests, and its part of the
 constant allowance.
+
+A repeated request repeats its calls, which count against the budget of the
+service called. A service gets at least as many requests as calls, so half of
+the ratio for each of the two services is safe where calls are one deep.
 """
 
 import collections
 
 from buckthorn_core import ids
 
-# Calls that a repeated request makes count as repeats too, so a share must
-# leave room for them.
-RATIO_SHARE = 0.5
-CONSTANT_SHARE = 0.7
+# Below a half, since windows of callers and daemons differ.
+RATIO_SHARE = 0.4
+# A repeated request makes one to two calls on average.
+CONSTANT_SHARE = 0.25
+# Part of the share for requests that have run: each takes another slot for a
+# whole run, while a request that was shed took none.
+RAN_SHARE = 0.5
 # Until the directory is known, this many daemons are assumed to share.
 MIN_DAEMONS = 8
 
@@ -27,13 +34,14 @@
         self._window_s = window_s
         self._requests: dict[ids.ServiceName, collections.deque[float]] = {}
         self._retries: dict[ids.ServiceName, collections.deque[float]] = {}
+        self._reruns: dict[ids.ServiceName, collections.deque[float]] = {}
 
     def add_request(self, service: ids.ServiceName, now_s: float) -> None:
         """Counts a request of a caller."""
         self._recent(self._requests, service, now_s).append(now_s)
 
     def take(
-        self, service: ids.ServiceName, now_s: float, daemons: int
+        self, service: ids.ServiceName, now_s: float, daemons: int, ran: bool
     ) -> bool:
         """Takes a retry from the share; returns whether there was one left.
 
@@ -41,12 +49,19 @@
             service: The service that gets the retry.
             now_s: Steady time in seconds.
             daemons: How many daemons share the budget.
+            ran: Whether the request may have run before.
         """
         requests = self._recent(self._requests, service, now_s)
         retries = self._recent(self._retries, service, now_s)
         share = self._constant / max(MIN_DAEMONS, daemons)
-        if len(retries) + 1 > self._ratio * len(requests) + share:
+        limit = self._ratio * len(requests) + share
+        if len(retries) + 1 > limit:
             return False
+        if ran:
+            reruns = self._recent(self._reruns, service, now_s)
+            if len(reruns) + 1 > RAN_SHARE * limit:
+                return False
+            reruns.append(now_s)
         retries.append(now_s)
         return True
 
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -2,9 +2,14 @@
 
 The daemon beside an upstream never has more requests at it than it has slots,
 since some upstreams never answer what they can't queue. What waits here is
-ordered by urgency. A request is refused at once when it can't be answered in
-time behind those that go first, and refused later only when more urgent work
-arrives and pushes it back.
+ordered by urgency, and among equals by the callers' deadlines: callers that
+come back after a refusal, and calls of requests that hold a slot elsewhere,
+have less time left than new ones. A request is refused at once when it can't
+start in time behind those that go first, and refused later only when more
+urgent work arrives and pushes it back.
+
+The queue is kept short. Slots stay busy with a few requests waiting; every
+further one makes all behind it late without one more being served.
 """
 
 from typing import NamedTuple
@@ -17,6 +22,10 @@
 INITIAL_RUN_S = 0.15
 # Weight of the newest run time in the average.
 SMOOTHING = 0.1
+# Share of the time until a request must start that it may be expected to
+# wait. Run times vary by a third, so an expected wait up to the last moment
+# would make half of what waits that long late.
+WAIT_SHARE = 0.5
 # Share of its target that late work may wait: it earns little, and it must
 # not be held for long and then refused.
 LATE_WAIT_SHARE = 0.25
@@ -33,6 +42,7 @@
     Attributes:
         route: Its route.
         priority: Rank; 0 is the most urgent.
+        caller_until_s: Until then the caller waits; steady time.
         target_at_s: Until then an answer has its full value; steady time.
         finish_by_s: Until then an answer is of use; steady time.
         target_s: The route's target, in seconds.
@@ -40,22 +50,32 @@
 
     route: ids.RouteName
     priority: int
+    caller_until_s: float
     target_at_s: float
     finish_by_s: float
     target_s: float
 
 
 class Ticket(NamedTuple):
-    """Place of a request in a slot or in the queue."""
+    """Place of a request in a slot or in the queue.
+
+    Attributes:
+        number: Counts the requests.
+        work: The request.
+        late: Whether it can't meet its target any more.
+        start_by_s: When it must start to be answered in time; steady time.
+    """
 
     number: int
     work: Work
     late: bool
+    start_by_s: float
 
     @property
-    def rank(self) -> tuple[bool, int, int]:
+    def rank(self) -> tuple[bool, int, float, int]:
         """Sort key of the queue: the smallest goes first."""
-        return (self.late, self.work.priority, self.number)
+        work = self.work
+        return (self.late, work.priority, work.caller_until_s, self.number)
 
 
 class SlotQueue:
@@ -98,10 +118,8 @@
         Raises:
             errors.RequestError: The request is refused.
         """
-        run_s = self.run_s(work.route)
-        late = now_s + run_s + RETURN_S > work.target_at_s
         self._numbers += 1
-        ticket = Ticket(self._numbers, work, late)
+        ticket = self._ticket(now_s, work)
         if len(self._running) < self.slots and not self._waiting:
             if now_s + RETURN_S > work.finish_by_s:
                 raise self._refusal(0.0, "no time is left")
@@ -112,6 +130,17 @@
         self._waiting.sort(key=lambda t: t.rank)
         return ticket, self._evict(now_s)
 
+    def _ticket(self, now_s: float, work: Work) -> Ticket:
+        needs_s = self.run_s(work.route) + RETURN_S
+        start_by_s = min(work.target_at_s, work.finish_by_s) - needs_s
+        late = start_by_s < now_s
+        if late:
+            start_by_s = min(
+                work.finish_by_s - needs_s,
+                now_s + LATE_WAIT_SHARE * work.target_s,
+            )
+        return Ticket(self._numbers, work, late, start_by_s)
+
     def is_running(self, ticket: Ticket) -> bool:
         """Returns whether a request has its slot."""
         return ticket.number in self._running
@@ -169,37 +198,20 @@
     def _check_wait(self, now_s: float, ticket: Ticket) -> None:
         ahead = sum(1 for t in self._waiting if t.rank < ticket.rank)
         wait_s = self.wait_s(ahead)
-        work = ticket.work
-        start_s = now_s + wait_s
-        end_s = start_s + self.run_s(work.route) + RETURN_S
-        if ticket.late:
-            fits = (
-                end_s <= work.finish_by_s
-                and wait_s <= LATE_WAIT_SHARE * work.target_s
-            )
-        else:
-            fits = end_s <= min(work.target_at_s, work.finish_by_s)
-        if not fits:
+        if wait_s > WAIT_SHARE * (ticket.start_by_s - now_s):
             raise self._refusal(
                 self.retry_after_s(),
                 f"{self.running} run, {self.waiting} wait, {ahead} go first",
             )
 
     def _evict(self, now_s: float) -> list[Ticket]:
-        """Removes what can't be answered in time any more."""
+        """Removes what can't start in time any more."""
         kept: list[Ticket] = []
         refused = []
         for ticket in self._waiting:
-            start_s = (
-                now_s
-                + self.wait_s(len(kept))
-                - self._mean_s / max(1, self.slots)
-            )
-            end_s = start_s + self.run_s(ticket.work.route)
-            limit_s = ticket.work.finish_by_s
-            if not ticket.late:
-                limit_s = min(limit_s, ticket.work.target_at_s)
-            if end_s > limit_s:
+            # The first in the queue starts with the next free slot.
+            wait_s = self.wait_s(len(kept) - 1)
+            if now_s + wait_s > ticket.start_by_s:
                 refused.append(ticket)
             else:
                 kept.append(ticket)
--- a/packages/core/buckthorn_core/virtual_hosts.py
+++ b/packages/core/buckthorn_core/virtual_hosts.py
@@ -1,5 +1,6 @@
 """A mesh's configuration as routes by host name: what callers may reach."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import enum
 from typing import NamedTuple
@@ -64,16 +65,23 @@
 
 
 class Version(msgspec.Struct, frozen=True):
-    """One whole version of the configuration."""
+    """One whole version of the configuration.
+
+    Attributes:
+        number: Its number.
+        routes: All routes.
+        health_paths: By service, the path of its upstreams' health checks.
+        limits: What callers may send.
+    """
 
     number: ids.VersionNumber
     routes: tuple[HostRoute, ...]
-    services: frozenset[ids.ServiceName]
+    health_paths: dict[ids.ServiceName, str]
     limits: CallerLimits
 
 
 def problems(
-    routes: Iterable[HostRoute], services: frozenset[ids.ServiceName]
+    routes: Iterable[HostRoute], services: Collection[ids.ServiceName]
 ) -> list[str]:
     """Returns all that keeps routes from being put in force."""
     found = []
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -58,6 +58,7 @@
         service: The service that runs it.
         finish_by_s: When it gets its final answer at the latest.
         arrivals: Upstreams that it has reached.
+        region_full: Whether a full upstream of this region refused it.
         tries: What happened so far.
     """
 
@@ -81,6 +82,7 @@
         self.target_at_s = now_s + route.target_s
         self.caller_until_s = now_s + (says.left_s or route.timeout_s)
         self.arrivals = 0
+        self.region_full = False
         self.tried: set[ids.DaemonId] = set()
         self.tries: list[Try] = []
 
@@ -219,8 +221,13 @@
     async def _try_all(self, call: Call) -> http1.Answer:
         refusals = 0
         failed: http1.Answer | None = None
+        refused: frames.Failure | None = None
         while True:
             to = self._choose(call)
+            if to is None:
+                if failed is not None:
+                    return failed
+                raise self._final(call, refused)
             result = await self._try(call, to)
             if isinstance(result, frames.Answer):
                 call.arrivals += 1
@@ -229,6 +236,8 @@
                     return failed
             else:
                 call.arrivals += result.arrived
+                call.region_full |= self._is_full_here(to, result)
+                refused = result
                 refusals += 1
                 if not self._may_try_again(call, result, refusals):
                     # An upstream's own failure says more than a refusal.
@@ -236,6 +245,14 @@
                         return failed
                     raise self._final(call, result)
 
+    def _is_full_here(
+        self, to: directories.Registration, result: frames.Failure
+    ) -> bool:
+        return (
+            result.code is errors.Code.SLOTS_FULL
+            and to.region == self._cfg.region
+        )
+
     def _is_worth_another(self, call: Call, status: int) -> bool:
         """Returns whether an upstream's failure is tried on another one."""
         return (
@@ -243,7 +260,7 @@
             and call.route.idempotent
             and self._has_choice(call)
             and self._time_left_s(call) > call.route.target_s * LAST_TRY_SHARE
-            and self._take_retry(call)
+            and self._take_retry(call, ran=True)
         )
 
     def _may_try_again(
@@ -255,13 +272,13 @@
             return False
         if refusals > MAX_REFUSALS or not self._has_choice(call):
             return False
-        return not result.arrived or self._take_retry(call)
+        return not result.arrived or self._take_retry(call, not not_run)
 
-    def _take_retry(self, call: Call) -> bool:
+    def _take_retry(self, call: Call, ran: bool) -> bool:
         if call.arrivals >= call.route.attempts:
             return False
         now_s = asyncio.get_running_loop().time()
-        return self._shares.take(call.service, now_s, len(self._directory))
+        return self._shares.take(call.service, now_s, len(self._directory), ran)
 
     def _time_left_s(self, call: Call) -> float:
         return call.finish_by_s - asyncio.get_running_loop().time()
@@ -276,20 +293,20 @@
             if r.daemon not in call.tried
         ]
 
-    def _choose(self, call: Call) -> directories.Registration:
+    def _choose(self, call: Call) -> directories.Registration | None:
         now_s = asyncio.get_running_loop().time()
-        to = self._placements.choose(
+        choice = self._placements.choose(
             self._candidates(call),
             now_s,
             call.route.target_s,
             call.target_at_s - now_s,
+            call.region_full,
         )
+        for registration in choice.ask:
+            self.links.to(registration).ask_report(now_s)
+        to = choice.to
         if to is None:
-            raise errors.RequestError(
-                errors.Code.NO_UPSTREAM,
-                f"no instance of {call.service} is known",
-                self._retry_after_s(call, RETRY_AFTER_S),
-            )
+            return None
         call.tried.add(to.daemon)
         return to
 
@@ -350,6 +367,7 @@
             route.name,
             route.idempotent,
             route.priority,
+            call.caller_until_s - now_s,
             call.target_at_s - now_s,
             call.finish_by_s - now_s,
             route.target_s,
@@ -412,7 +430,15 @@
                     )
                 await asyncio.sleep(ASK_PAUSE_S)
 
-    def _final(self, call: Call, result: frames.Failure) -> errors.RequestError:
+    def _final(
+        self, call: Call, result: frames.Failure | None
+    ) -> errors.RequestError:
+        if result is None:
+            return errors.RequestError(
+                errors.Code.NO_UPSTREAM,
+                f"no instance of {call.service} takes work",
+                self._retry_after_s(call, RETRY_AFTER_S),
+            )
         exc = _error(result)
         if exc.trait.not_run and call.arrivals and not self._all_not_run(call):
             # An earlier try may have run.
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -272,6 +272,7 @@
         self._directory = directory
         self._wanted: directories.Registration | None = None
         self._changed = asyncio.Event()
+        self._written = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -285,8 +286,26 @@
 
     def want(self, registration: directories.Registration) -> None:
         """Sets what the record is to say."""
-        self._wanted = registration
-        self._changed.set()
+        if registration != self._wanted:
+            self._wanted = registration
+            self._written.clear()
+            self._changed.set()
+
+    async def flush(self, timeout_s: float) -> bool:
+        """Waits until the record says what it is to say.
+
+        Args:
+            timeout_s: The longest wait, in seconds.
+
+        Returns:
+            Whether it does.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._written.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def look(self) -> None:
         """Compares the record with what it is to say."""
@@ -303,23 +322,24 @@
             await self._log.append(self._topic, self._daemon, b"")
 
     async def _keep(self) -> None:
-        written: directories.Registration | None = None
         while True:
             await self._changed.wait()
             self._changed.clear()
             wanted = self._wanted
             current = self._directory.get(self._daemon)
-            if wanted is None or current == wanted:
-                written = None
-                continue
-            if written == wanted and current is not None:
-                # The topic still shows an older record than the one written.
+            # After a write the topic still shows the older record for a while;
+            # a record that is gone was removed by another daemon.
+            stale = self._written.is_set() and current is not None
+            if wanted is None or current == wanted or stale:
+                if current == wanted:
+                    self._written.set()
                 continue
             try:
                 await self._log.append(
                     self._topic, self._daemon, directories.encode(wanted)
                 )
-                written = wanted
+                if wanted == self._wanted:
+                    self._written.set()
                 _logger.info("registered", daemon=self._daemon)
             except errors.LogError as exc:
                 _logger.warning("registration_failed", error=str(exc))
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -29,6 +29,7 @@
         route: Its route.
         idempotent: Whether it may run more than once.
         priority: Rank; 0 is the most urgent.
+        caller_left_s: Time that the caller still waits, in seconds.
         target_left_s: Time left until its target, in seconds.
         left_s: Time left until its answer is of no use, in seconds.
         target_s: The route's target, in seconds.
@@ -45,6 +46,7 @@
     route: ids.RouteName
     idempotent: bool
     priority: int
+    caller_left_s: float
     target_left_s: float
     left_s: float
     target_s: float
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -33,6 +33,7 @@
 MAX_OUTCOMES = 8_192
 # After the upstream could not be reached it gets no request for this long.
 DOWN_S = 0.3
+HEALTH_TIMEOUT_S = 0.3
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -109,9 +110,14 @@
 
     def announce(self, said: lifetimes.Announcement) -> lifetimes.Change:
         """Applies an announcement of the upstream."""
+        old = self.lifetimes.current
+        assumed = old is not None and (
+            (old.instance, old.address) == (said.instance, said.address)
+        )
         change = self.lifetimes.announce(said)
         if change is lifetimes.Change.NEW_LIFETIME:
-            self._pool.set_address(said.address)
+            if not assumed:
+                self._pool.set_address(said.address)
             self._down_until_s = float("-inf")
             _logger.info(
                 "upstream_lifetime",
@@ -127,9 +133,35 @@
 
     def leave(
         self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
-    ) -> None:
+    ) -> lifetimes.Change:
         """Closes the gate of a lifetime that leaves."""
-        self._after(self.lifetimes.leave(instance, born_ms, now_ms))
+        change = self.lifetimes.leave(instance, born_ms, now_ms)
+        self._after(change)
+        return change
+
+    async def check_health(self, path: str, slots: int) -> None:
+        """Opens the gate if the upstream says that it is healthy.
+
+        A daemon that starts beside a running upstream would otherwise wait
+        for the next announcement.
+
+        Args:
+            path: Path of the health check.
+            slots: How many requests it runs, as far as known.
+        """
+        instance = None
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                instance = await self._pool.check_health(path)
+        except (TimeoutError, errors.RequestError) as exc:
+            _logger.info("upstream_health_unknown", error=str(exc))
+        if instance is None:
+            return
+        address = self._cfg.upstream_address
+        change = self.lifetimes.assume(instance, slots, address)
+        if change is lifetimes.Change.NEW_LIFETIME:
+            _logger.info("upstream_assumed", instance=instance, slots=slots)
+            self.queue.slots = slots
 
     def _after(self, change: lifetimes.Change) -> None:
         if change is lifetimes.Change.CLOSED:
@@ -258,6 +290,7 @@
         work = slot_queues.Work(
             req.route,
             req.priority,
+            now_s + req.caller_left_s,
             now_s + req.target_left_s,
             finish_by_s,
             req.target_s,
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -26,6 +26,8 @@
 PING_AFTER_S = 0.5
 # Two pings on a link that loses packets fit into this.
 SILENCE_S = 1.5
+# Pause between requests for a report, in seconds.
+REPORT_PAUSE_S = 0.2
 # How often links are looked at, in seconds.
 CHECK_S = 0.25
 
@@ -121,15 +123,18 @@
         """
         if self._conn is not None:
             return self._conn
-        if self._connecting is None:
-            self._connecting = asyncio.create_task(self._open())
-            self._connecting.add_done_callback(self._opened)
+        connecting = self._connecting or self._start_connecting()
         try:
-            return await asyncio.shield(self._connecting)
+            return await asyncio.shield(connecting)
         except OSError as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             raise NotSentError(f"{self.to.address}: {exc!r}", refused) from exc
 
+    def _start_connecting(self) -> "asyncio.Task[_FrameProtocol]":
+        self._connecting = asyncio.create_task(self._open())
+        self._connecting.add_done_callback(self._opened)
+        return self._connecting
+
     async def _open(self) -> _FrameProtocol:
         host, _, port = self.to.address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -202,6 +207,16 @@
             if not fut.done():
                 fut.set_exception(LinkLostError(f"{self.to.address}: {why}"))
 
+    def ask_report(self, now_s: float) -> None:
+        """Asks for a report of the load; connects if there is no link yet."""
+        if now_s - self._pinged_s <= REPORT_PAUSE_S:
+            return
+        self._pinged_s = now_s
+        if self._conn is not None:
+            self._conn.send(frames.Ping())
+        elif self._connecting is None:
+            self._start_connecting()
+
     def check(self, now_s: float) -> None:
         """Pings a quiet connection, and closes a silent one."""
         conn = self._conn
--- a/packages/sidecar/buckthorn_sidecar/ports.py
+++ b/packages/sidecar/buckthorn_sidecar/ports.py
@@ -63,6 +63,9 @@
     def read_answer(self, answer: http1.Answer) -> UpstreamAnswer:
         """Reads an upstream's answer."""
 
+    def read_health(self, answer: http1.Answer) -> ids.InstanceId | None:
+        """Returns the instance that says it is healthy, or None."""
+
 
 class Record(NamedTuple):
     """A record of a keyed topic.
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -30,6 +30,14 @@
 # How often versions that other daemons have are looked at, in seconds.
 HURRY_CHECK_S = 0.25
 
+# An acknowledgement waits this long for the record behind it, in seconds; the
+# upstream gives up after one second.
+CLOSED_WRITE_S = 0.4
+# Health checks of an upstream that runs when the daemon starts, and the pause
+# between them in seconds. It announces itself every 1.5 s.
+HEALTH_CHECKS = 3
+HEALTH_PAUSE_S = 0.25
+
 _logger = loguru.logger.bind(module=__name__)
 
 
@@ -97,8 +105,8 @@
         self._registrar = following.Registrar(
             log, topics.members, cfg.daemon, self.directory
         )
-        self._members.on_own_record = self._registrar.look
-        self._hurrier: asyncio.Task[None] | None = None
+        self._members.on_own_record = self._on_own_record
+        self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
         self.meter.watch("buckthorn_version", lambda: self.holder.number)
         self.meter.watch("buckthorn_ready", lambda: int(self.ready))
@@ -124,7 +132,10 @@
         self._configurations.start()
         self._member_topic.start()
         self._registrar.start()
-        self._hurrier = asyncio.create_task(self._hurry())
+        self._tasks = [
+            asyncio.create_task(self._hurry()),
+            asyncio.create_task(self._check_health()),
+        ]
         _logger.info("started", daemon=self._cfg.daemon)
 
     async def drain(self) -> None:
@@ -133,11 +144,11 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._cfg.grace_s - EXIT_S
         self._stopping = True
-        self.ingress.stop_admitting()
         self.callers.drain()
         if self.ingress.lifetimes.state is lifetimes.UpstreamState.GONE:
             await self._withdraw()
         await asyncio.sleep(LAME_DUCK_S)
+        self.ingress.stop_admitting()
         self.callers.stop_listening()
         while loop.time() < end_s:
             if self.ingress.idle and not self.callers.busy:
@@ -153,8 +164,8 @@
 
     def close(self) -> None:
         """Stops everything at once."""
-        if self._hurrier is not None:
-            self._hurrier.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._registrar.close()
         self._member_topic.close()
         self._configurations.close()
@@ -164,7 +175,7 @@
         self.ingress.close()
         _logger.info("stopped", daemon=self._cfg.daemon)
 
-    def announce(self, said: lifetimes.Announcement) -> None:
+    async def announce(self, said: lifetimes.Announcement) -> None:
         """Takes an announcement of the upstream beside this daemon."""
         if said.service != self._cfg.service:
             _logger.warning(
@@ -173,8 +184,31 @@
                 service=said.service,
             )
             return
-        self.ingress.announce(said)
+        change = self.ingress.announce(said)
+        await self._register(said.slots, change)
+
+    async def leave(
+        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
+    ) -> None:
+        """Takes the word of an upstream that it leaves."""
+        change = self.ingress.leave(instance, born_ms, now_ms)
+        await self._register(self.ingress.queue.slots, change)
+
+    async def _register(self, slots: int, change: lifetimes.Change) -> None:
+        """Keeps this daemon's record current.
+
+        That a lifetime leaves is written before it is acknowledged, as far as
+        the log answers in time: the acknowledgement binds the daemon's next
+        process too.
+        """
         cfg = self._cfg
+        old = self.directory.get(cfg.daemon)
+        current = self.ingress.lifetimes.current
+        closed = old.closed if old is not None else ids.InstanceId("")
+        closed_born_ms = old.closed_born_ms if old is not None else 0
+        closing = change is lifetimes.Change.CLOSED and current is not None
+        if closing and current is not None:
+            closed, closed_born_ms = current.instance, current.born_ms
         self._registrar.want(
             directories.Registration(
                 cfg.daemon,
@@ -182,15 +216,35 @@
                 cfg.service,
                 cfg.site,
                 cfg.region,
-                said.slots,
+                slots,
+                closed,
+                closed_born_ms,
             )
         )
+        if closing and not await self._registrar.flush(CLOSED_WRITE_S):
+            _logger.warning("closing_not_written", instance=closed)
 
-    def leave(
-        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
-    ) -> None:
-        """Takes the word of an upstream that it leaves."""
-        self.ingress.leave(instance, born_ms, now_ms)
+    def _on_own_record(self) -> None:
+        own = self.directory.get(self._cfg.daemon)
+        if own is not None and own.closed:
+            self.ingress.leave(own.closed, own.closed_born_ms, 0)
+        self._registrar.look()
+
+    async def _check_health(self) -> None:
+        """Asks an upstream that runs already whether it takes work."""
+        await self._member_topic.synced.wait()
+        await self._configurations.synced.wait()
+        for _ in range(HEALTH_CHECKS):
+            version = self.holder.current
+            own = self.directory.get(self._cfg.daemon)
+            known = self.ingress.lifetimes.current is not None
+            if version is None or own is None or known:
+                return
+            path = version.health_paths.get(self._cfg.service)
+            if path is None:
+                return
+            await self.ingress.check_health(path, own.slots)
+            await asyncio.sleep(HEALTH_PAUSE_S)
 
     async def answer_readiness(self, req: http1.Request) -> http1.Answer:
         """Answers whether callers are to send requests here."""
--- a/packages/sidecar/buckthorn_sidecar/upstreams.py
+++ b/packages/sidecar/buckthorn_sidecar/upstreams.py
@@ -82,6 +82,17 @@
                 CONNECT_TIMEOUT_S,
             ) from exc
 
+    async def check_health(self, path: str) -> ids.InstanceId | None:
+        """Returns the instance that says it is healthy, or None.
+
+        Raises:
+            errors.RequestError: There was no answer.
+        """
+        conn = await self.take()
+        data = http1.encode_request("GET", path, [("Host", self._address)], b"")
+        exchange = await self.exchange(conn, "GET", data, ids.RequestId(""))
+        return self._dialect.read_health(exchange.answer)
+
     async def exchange(
         self,
         conn: http1.Connection,
