Refuse by a shorter expected wait that leaves room for urgent work

Cause: requests queued behind work that more urgent arrivals pushed back were refused after 0.25 to 0.4 s, too late for their callers to return in time. The expected wait now counts the share of the slots that more urgent arrivals take, and may use 0.3 of the time until the request must start.

--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -32,6 +32,9 @@
 # Candidates whose scores differ by less than this share of a run are equal;
 # otherwise all daemons would pick the same one between two reports.
 SPREAD = 0.1
+# Share of its slots up to which an instance of another region has room: all
+# daemons of a full region send to it until its next report.
+ROOM_SHARE = 0.8
 # A report describes the load for this long, in seconds.
 REPORT_S = 1.0
 # A daemon that refused gets no request for this long, in seconds, unless
@@ -194,7 +197,7 @@
         return (
             seen.avoid_until_s <= now_s
             and self._is_fresh(to, now_s)
-            and busy < load.slots
+            and busy < ROOM_SHARE * load.slots
         )
 
     def _score(
@@ -218,7 +221,8 @@
         score = (
             total_s + crossing * target_s + self._rng.random() * SPREAD * run_s
         )
-        if total_s > left_s:
+        slack_s = left_s - trip_s - run_s
+        if total_s > left_s or queue_s > slot_queues.WAIT_SHARE * slack_s:
             score += LATE_PENALTY_S
         if seen.failing > FAILING_SHARE:
             score += LATE_PENALTY_S * seen.failing
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -12,6 +12,7 @@
 further one makes all behind it late without one more being served.
 """
 
+import math
 from typing import NamedTuple
 
 from buckthorn_core import errors
@@ -24,8 +25,13 @@
 SMOOTHING = 0.1
 # Share of the time until a request must start that it may be expected to
 # wait. Run times vary by a third, so an expected wait up to the last moment
-# would make half of what waits that long late.
-WAIT_SHARE = 0.5
+# would make half of what waits that long late; and a caller that is refused
+# early can still come back in time.
+WAIT_SHARE = 0.3
+# Time over which the rate of arrivals is averaged, in seconds.
+RATE_S = 2.0
+# More urgent work is never taken to need more than this share of the slots.
+MAX_URGENT_SHARE = 0.9
 # Share of its target that late work may wait: it earns little, and it must
 # not be held for long and then refused.
 LATE_WAIT_SHARE = 0.25
@@ -78,6 +84,23 @@
         return (self.late, work.priority, work.caller_until_s, self.number)
 
 
+class _Rate:
+    """Arrivals a second, averaged with exponential decay."""
+
+    __slots__ = ("_at_s", "_per_s")
+
+    def __init__(self) -> None:
+        self._at_s = 0.0
+        self._per_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        self._per_s = self.per_s(now_s) + 1 / RATE_S
+        self._at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        return self._per_s * math.exp((self._at_s - now_s) / RATE_S)
+
+
 class SlotQueue:
     """Counts the slots of one upstream and orders what waits for them."""
 
@@ -88,6 +111,7 @@
         self._numbers = 0
         self._run_s: dict[ids.RouteName, float] = {}
         self._mean_s = INITIAL_RUN_S
+        self._rates: dict[int, _Rate] = {}
 
     @property
     def running(self) -> int:
@@ -119,6 +143,7 @@
             errors.RequestError: The request is refused.
         """
         self._numbers += 1
+        self._rates.setdefault(work.priority, _Rate()).add(now_s)
         ticket = self._ticket(now_s, work)
         if len(self._running) < self.slots and not self._waiting:
             if now_s + RETURN_S > work.finish_by_s:
@@ -197,13 +222,23 @@
 
     def _check_wait(self, now_s: float, ticket: Ticket) -> None:
         ahead = sum(1 for t in self._waiting if t.rank < ticket.rank)
-        wait_s = self.wait_s(ahead)
+        wait_s = self.wait_s(ahead) / (1 - self._urgent_share(now_s, ticket))
         if wait_s > WAIT_SHARE * (ticket.start_by_s - now_s):
             raise self._refusal(
                 self.retry_after_s(),
                 f"{self.running} run, {self.waiting} wait, {ahead} go first",
             )
 
+    def _urgent_share(self, now_s: float, ticket: Ticket) -> float:
+        """Returns the share of the slots that more urgent arrivals take."""
+        per_s = sum(
+            rate.per_s(now_s)
+            for priority, rate in self._rates.items()
+            if priority < ticket.work.priority
+        )
+        share = per_s * self._mean_s / max(1, self.slots)
+        return min(MAX_URGENT_SHARE, share)
+
     def _evict(self, now_s: float) -> list[Ticket]:
         """Removes what can't start in time any more."""
         kept: list[Ticket] = []
