--- /dev/null
+++ b/tests/adapters/test_http1.py
@@ -0,0 +1,178 @@
+"""Reading and writing HTTP/1.1 messages."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from buckthorn_adapters import http1
+from buckthorn_core import errors
+
+
+def read(data, cuts=(), max_header_bytes=2_000, max_body_bytes=100):
+    found = []
+    reader = http1.RequestReader(
+        found.append, lambda: None, max_header_bytes, max_body_bytes
+    )
+    start = 0
+    for cut in [*sorted(cuts), len(data)]:
+        reader.feed(data[start:cut])
+        start = max(start, cut)
+    return found
+
+
+TWO = (
+    b"GET /a?b=c HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n"
+    b"PUT /d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+
+
+@given(
+    cuts=strategies.lists(
+        strategies.integers(min_value=0, max_value=len(TWO)), max_size=8
+    )
+)
+def test_requests_arrive_whole_however_they_are_cut(cuts):
+    """Guards against a request that is split or joined with the next."""
+    first, second = read(TWO, cuts)
+    assert (first.method, first.target, first.body) == ("GET", "/a?b=c", b"")
+    assert first.header("x-a") == "1"
+    assert (second.method, second.target) == ("PUT", "/d")
+    assert second.body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"GET / HTTP/1.1\r\nHost h\r\n\r\n", errors.Code.BAD_REQUEST),
+        (
+            b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+            errors.Code.BODY_TOO_LARGE,
+        ),
+        (
+            b"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"80\r\n" + 128 * b"x",
+            errors.Code.BODY_TOO_LARGE,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nHost: h\r\nX: " + 3_000 * b"x" + b"\r\n\r\n",
+            errors.Code.HEADERS_TOO_LARGE,
+        ),
+        (
+            b"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n"
+            b"Upgrade: x\r\n\r\n",
+            errors.Code.BAD_REQUEST,
+        ),
+        (
+            b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nab",
+            errors.Code.BAD_REQUEST,
+        ),
+    ],
+)
+def test_what_is_no_request_has_a_code(data, code):
+    """Guards against bytes that are taken for another request."""
+    with pytest.raises(errors.RequestError) as caught:
+        read(data)
+    assert caught.value.code is code
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    """Guards against a header that would change the next hop's framing."""
+    kept = http1.end_to_end(
+        [
+            ("Connection", "close, X-Hop"),
+            ("X-Hop", "1"),
+            ("Transfer-Encoding", "chunked"),
+            ("Content-Length", "3"),
+            ("X-Own", "2"),
+        ]
+    )
+    assert kept == [("X-Own", "2")]
+
+
+def test_an_answer_to_head_has_no_body():
+    """Guards against a body that the caller takes for the next answer."""
+    data = http1.encode_answer(200, [], b"abc", False, head_only=True)
+    assert data.endswith(b"Content-Length: 3\r\n\r\n")
+
+
+async def _exchange(served, requests=1, head_only=False, body=b""):
+    """Returns what a connection receives from a server that sends bytes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(served)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    conn = await http1.connect(address, 1.0, 1_000)
+    conn.send(http1.encode_request("GET", "/", [], body), head_only)
+    try:
+        answers = [await conn.receive() for _ in range(requests)]
+        return conn, answers
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("served", "body"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", b"ab"),
+        (b"HTTP/1.1 200 OK\r\n\r\nall", b"all"),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+            b"a",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nx\r\n0\r\n\r\n",
+            b"x",
+        ),
+    ],
+)
+def test_whole_answers(served, body):
+    """Guards against an answer that is taken as cut."""
+    _, [answer] = asyncio.run(_exchange(served))
+    assert answer.body == body
+
+
+@pytest.mark.parametrize(
+    ("served", "started"),
+    [
+        (b"", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", True),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", True),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx", True),
+        (b"\x00garbage\r\n\r\n", True),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + 2000 * b"x",
+            True,
+        ),
+    ],
+)
+def test_answers_cut_short_are_errors(served, started):
+    """Guards against part of an answer that looks complete."""
+    with pytest.raises(http1.AnswerCutError):
+        asyncio.run(_exchange(served))
+    del started
+
+
+def test_a_connection_with_bytes_behind_its_answer_is_not_clean():
+    """Guards against a second answer that the next request receives."""
+    one = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+    conn, _ = asyncio.run(_exchange(one + one))
+    assert not conn.clean
+
+
+def test_the_answer_to_head_is_complete_with_its_headers():
+    """Guards against a wait for a body that never comes."""
+    served = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+    _, [answer] = asyncio.run(_exchange(served, head_only=True))
+    assert answer.body == b""
+    assert not answer.keep_alive
--- a/tests/core/test_slot_queues.py
+++ b/tests/core/test_slot_queues.py
@@ -144,61 +144,65 @@
     assert queue.start_waiting(0.0) == ([], [])
 
 
-def replay(queue, arrivals, run_s, rng):
-    """Replays arrivals on a queue; returns outcomes by priority.
-
-    Args:
-        queue: The queue.
-        arrivals: Times and priorities, in order of time.
-        run_s: Mean run time.
-        rng: Spreads run times by a third, as the sites' services do.
-
-    Returns:
-        By priority: how many came, were in time, late, refused at once, and
-        refused after they had waited.
+class Replay:
+    """A queue with an upstream behind it, on simulated time.
+
+    Attributes:
+        counts: By priority: how many came, were in time, late, refused at
+            once, and refused after they had waited.
     """
-    counts = {}
-    ends, numbers, waiting = [], itertools.count(), {}
-
-    def count(ticket_work, what):
-        row = counts.setdefault(
-            ticket_work.priority,
-            dict.fromkeys(("came", "in_time", "late", "refused", "held"), 0),
-        )
+
+    def __init__(self, queue, run_s, rng):
+        self.queue = queue
+        self.run_s = run_s
+        self.rng = rng
+        self.counts = {}
+        self._ends = []
+        self._numbers = itertools.count()
+
+    def _count(self, entered, what):
+        whats = ("came", "in_time", "late", "refused", "held")
+        row = self.counts.setdefault(entered.priority, dict.fromkeys(whats, 0))
         row[what] += 1
 
-    def start(ticket, now_s):
-        waiting.pop(ticket.number, None)
-        lasts_s = max(0.01, rng.gauss(run_s, run_s / 3))
-        heapq.heappush(ends, (now_s + lasts_s, next(numbers), ticket, lasts_s))
+    def _start(self, ticket, now_s):
+        # Run times spread by a third, as those of the sites' services do.
+        lasts_s = max(0.01, self.rng.gauss(self.run_s, self.run_s / 3))
+        end = (now_s + lasts_s, next(self._numbers), ticket, lasts_s)
+        heapq.heappush(self._ends, end)
 
-    def finish_until(now_s):
-        while ends and ends[0][0] <= now_s:
-            at_s, _, ticket, lasts_s = heapq.heappop(ends)
-            queue.leave(ticket, lasts_s)
+    def _finish_until(self, now_s):
+        while self._ends and self._ends[0][0] <= now_s:
+            at_s, _, ticket, lasts_s = heapq.heappop(self._ends)
+            self.queue.leave(ticket, lasts_s)
             in_time = at_s <= ticket.work.target_at_s
-            count(ticket.work, "in_time" if in_time else "late")
-            started, refused = queue.start_waiting(at_s)
+            self._count(ticket.work, "in_time" if in_time else "late")
+            started, refused = self.queue.start_waiting(at_s)
             for other in started:
-                start(other, at_s)
+                self._start(other, at_s)
             for other in refused:
-                count(other.work, "held")
+                self._count(other.work, "held")
 
-    for now_s, priority in arrivals:
-        finish_until(now_s)
+    def _arrive(self, now_s, priority):
         asked = work(priority, now_s=now_s)
-        count(asked, "came")
+        self._count(asked, "came")
         try:
-            ticket, pushed_out = queue.enter(now_s, asked)
+            ticket, pushed_out = self.queue.enter(now_s, asked)
         except errors.RequestError:
-            count(asked, "refused")
-            continue
+            self._count(asked, "refused")
+            return
         for other in pushed_out:
-            count(other.work, "held")
-        if queue.is_running(ticket):
-            start(ticket, now_s)
-    finish_until(float("inf"))
-    return counts
+            self._count(other.work, "held")
+        if self.queue.is_running(ticket):
+            self._start(ticket, now_s)
+
+    def run(self, arrivals):
+        """Replays times and priorities; returns the counts."""
+        for now_s, priority in arrivals:
+            self._finish_until(now_s)
+            self._arrive(now_s, priority)
+        self._finish_until(float("inf"))
+        return self.counts
 
 
 def arrivals_of(rng, seconds, rate, priorities):
@@ -218,7 +222,7 @@
     rng = random.Random(seed)
     queue = slot_queues.SlotQueue(18)
     rate = 1.7 * 18 / 0.25
-    found = replay(queue, arrivals_of(rng, 20, rate, [0, 2, 2]), 0.25, rng)
+    found = Replay(queue, 0.25, rng).run(arrivals_of(rng, 20, rate, [0, 2, 2]))
     urgent, lesser = found[0], found[2]
     assert urgent["in_time"] >= 0.95 * urgent["came"]
     served = urgent["in_time"] + lesser["in_time"]
@@ -232,8 +236,8 @@
     """Guards against an order that turns urgent requests away first."""
     rng = random.Random(seed)
     queue = slot_queues.SlotQueue(6)
-    found = replay(
-        queue, arrivals_of(rng, 20, 2.5 * 6 / 0.1, [0, 1, 2]), 0.1, rng
+    found = Replay(queue, 0.1, rng).run(
+        arrivals_of(rng, 20, 2.5 * 6 / 0.1, [0, 1, 2])
     )
     shares = [found[p]["in_time"] / found[p]["came"] for p in (0, 1, 2)]
     assert shares == sorted(shares, reverse=True)
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,498 @@
+"""Stand-ins of the platform: its store, an instance, a caller, a host.
+
+They are written from the platform's pages alone and import none of the
+product's code, so that a fault in the product can't hide in them.
+"""
+
+import base64
+import collections
+import contextlib
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import socketserver
+import subprocess
+import sys
+import threading
+import time
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).parents[2]
+FOLDERS = [
+    *(ROOT / "packages" / name for name in ("core", "adapters", "sidecar")),
+    ROOT / "platform",
+]
+PREFIX = "X-Buckthornstack-"
+WAIT_S = 10.0
+
+
+def free_port():
+    with contextlib.closing(socket.socket()) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(condition, timeout_s=WAIT_S):
+    """Waits until a condition holds and returns its value."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError(f"not within {timeout_s} s: {condition}")
+
+
+class _Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 64
+
+    def handle_error(self, request, client_address):
+        """A peer that goes away is part of the tests."""
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        """Keeps the test's output clean."""
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status, body, headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Standin:
+    """A server on a thread of its own."""
+
+    def __init__(self, port=0):
+        standin = self
+
+        class Handler(_Handler):
+            def __getattr__(self, name):
+                if name.startswith("do_"):
+                    return lambda: standin.handle(self)
+                raise AttributeError(name)
+
+        self._server = _Server(("127.0.0.1", port), Handler)
+        self.port = self._server.server_address[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, args=(0.05,), daemon=True
+        )
+
+    def start(self):
+        self._thread.start()
+        return self
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Store(_Standin):
+    """The store: keyed topics with one partition.
+
+    Attributes:
+        down: Whether calls are answered 503.
+        calls: Count of calls by path.
+    """
+
+    def __init__(self, port=0):
+        super().__init__(port)
+        self.down = False
+        self.first = collections.Counter()
+        self.calls = collections.Counter()
+        self._topics = collections.defaultdict(list)
+        self._changed = threading.Condition()
+
+    def put(self, topic, key, value):
+        """Appends a record, as the operator does."""
+        with self._changed:
+            self._topics[topic].append((key, value))
+            self._changed.notify_all()
+
+    def forget_history(self, topic):
+        """Lets all records of a topic expire but the newest of each key."""
+        with self._changed:
+            self.first[topic] = len(self._topics[topic])
+
+    def newest(self, topic):
+        """Returns the newest value of each key."""
+        with self._changed:
+            return {k: v for k, v in dict(self._topics[topic]).items() if v}
+
+    def handle(self, call):
+        body = call.body()
+        path, _, query = call.path.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        name = path.rpartition("/")[2]
+        self.calls[name] += 1
+        if self.down:
+            call.reply(503, b"{}")
+            return
+        getattr(self, "_" + name.replace("-", "_"))(call, fields, body)
+
+    def _log_append(self, call, fields, body):
+        at, offset = 0, len(self._topics[fields["topic"]])
+        while at < len(body):
+            length = int.from_bytes(body[at : at + 4], "big")
+            content = body[at + 4 : at + 4 + length]
+            split = 1 + content[0]
+            self.put(
+                fields["topic"], content[1:split].decode(), content[split:]
+            )
+            at += 4 + length
+        answer = {"offset": offset, "end": len(self._topics[fields["topic"]])}
+        call.reply(200, json.dumps(answer).encode())
+
+    def _log_read(self, call, fields, body):
+        del body
+        topic, start = fields["topic"], int(fields["from"])
+        with self._changed:
+            if start < self.first[topic]:
+                call.reply(410, b'{"first":%d}' % self.first[topic])
+                return
+            self._changed.wait_for(
+                lambda: len(self._topics[topic]) > start or self.down,
+                int(fields.get("waitMs", 0)) / 1000,
+            )
+            found = self._topics[topic][start:]
+            end = len(self._topics[topic])
+        out = end.to_bytes(8, "big") + self.first[topic].to_bytes(8, "big")
+        for key, value in found:
+            name = key.encode()
+            content = bytes([len(name)]) + name + value
+            out += len(content).to_bytes(4, "big") + content
+        call.reply(200, out)
+
+    def _log_newest(self, call, fields, body):
+        del body
+        topic = fields["topic"]
+        with self._changed:
+            items = [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": 0,
+                }
+                for key, value in dict(self._topics[topic]).items()
+                if value
+            ]
+            end = len(self._topics[topic])
+        answer = {"items": items, "hasMore": False, "end": end}
+        call.reply(200, json.dumps(answer).encode())
+
+
+class Instance(_Standin):
+    """An application instance.
+
+    Attributes:
+        runs: Requests that it has begun, in order.
+        behave: Replaces the answer of a request; takes the handler and the
+            run.
+        hold: Requests run until this is set.
+        gone: Ids of requests whose connection closed while they ran.
+        healthy: Whether its health check passes.
+    """
+
+    def __init__(self, service, port=0, instance="i-1", born_ms=1_000):
+        super().__init__(port)
+        self.service = service
+        self.instance = instance
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.runs = []
+        self.behave = None
+        self.hold = threading.Event()
+        self.hold.set()
+        self.gone = []
+        self.healthy = True
+        self.connections = set()
+
+    def handle(self, call):
+        body = call.body()
+        self.connections.add(call.client_address)
+        if call.path == "/health":
+            status = 200 if self.healthy else 503
+            call.reply(status, b"", [(PREFIX + "Instance-Id", self.instance)])
+            return
+        target = call.headers.get(PREFIX + "Target-Instance")
+        if target not in (None, self.instance):
+            call.reply(421, b"")
+            return
+        request_id = call.headers[PREFIX + "Request-Id"]
+        run = {
+            "id": request_id,
+            "method": call.command,
+            "path": call.path,
+            "body": body,
+            "headers": {k.lower(): v for k, v in call.headers.items()},
+        }
+        self.runs.append(run)
+        if not self._wait(call, request_id):
+            return
+        if self.behave is not None:
+            self.behave(call, run)
+            return
+        self.answer(call, run)
+
+    def _wait(self, call, request_id):
+        while not self.hold.wait(0.02):
+            call.connection.setblocking(False)
+            try:
+                closed = call.connection.recv(1, socket.MSG_PEEK) == b""
+            except BlockingIOError:
+                closed = False
+            except OSError:
+                closed = True
+            finally:
+                call.connection.setblocking(True)
+            if closed:
+                self.gone.append(request_id)
+                call.close_connection = True
+                return False
+        return True
+
+    def answer(self, call, run, status=200, body=None, request_id=None):
+        """Sends a genuine answer."""
+        call.reply(
+            status,
+            f"done {run['id']}".encode() if body is None else body,
+            [
+                (PREFIX + "Request-Id", request_id or run["id"]),
+                (PREFIX + "Response-Signature", f"proof-{run['id']}"),
+            ],
+        )
+
+    def ran(self, request_id):
+        """Returns how often a request was begun."""
+        return sum(run["id"] == request_id for run in self.runs)
+
+    def beat(self, control, state="ready", sequence=None, **changes):
+        """Announces itself; returns the status of the answer."""
+        self.sequence += 1
+        said = {
+            "address": self.address,
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "z1",
+                "capacity": 4,
+            },
+            "status": {
+                "state": state,
+                "sequence": sequence or self.sequence,
+                "warmupLeft": "0ms",
+            },
+            **changes,
+        }
+        return self._call(control, "instances.heartbeat", said)
+
+    def leave(self, control):
+        """Says that it leaves; returns the status of the answer."""
+        return self._call(control, "instances.leave", {"born": self.born_ms})
+
+    def _call(self, control, name, said):
+        conn = http.client.HTTPConnection(control, timeout=2)
+        body = said if isinstance(said, bytes) else json.dumps(said).encode()
+        try:
+            conn.request(
+                "POST",
+                f"/api/rpc?call={name}&of={self.instance}",
+                body,
+                {"Content-Type": "application/json"},
+            )
+            return conn.getresponse().status
+        finally:
+            conn.close()
+
+
+class Reply:
+    """An answer that a caller got."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = {k.lower(): v for k, v in headers}
+        self.body = body
+
+    @property
+    def retry_after_s(self):
+        text = self.headers.get("retry-after")
+        return None if text is None else float(text)
+
+
+class Host:
+    """A host with a running daemon, as a real process."""
+
+    def __init__(self, folder, name, store, instance, zone="z1"):
+        self.name = name
+        ports = {
+            listen: f"127.0.0.1:{free_port()}"
+            for listen in ("inbound", "outbound", "ready", "control")
+        }
+        self.ports = ports
+        self.metrics_port = free_port()
+        self.file = folder / f"{name}.toml"
+        self.log = folder / f"{name}.log"
+        listen = "\n".join(f'{k} = "{v}"' for k, v in ports.items())
+        self.file.write_text(
+            f'node = "{name}"\nip = "127.0.0.1"\nzone = "{zone}"\n'
+            f'region = "r1"\nservice = "{instance.service}"\n'
+            f'appAddr = "{instance.address}"\nnew = "ignored"\n'
+            f"internalPortRange = [{self.metrics_port}, {self.metrics_port}]\n"
+            'bounds = ["grace=6s", "drain=2500ms", "retryBudgetRatio=0.2",'
+            ' "budgetWindow=10s", "budgetSlack=60"]\n'
+            f"[listen]\n{listen}\n"
+            f'[provider]\naddress = "{store.address}"\nkeep = "300s"\n'
+        )
+        self._process = None
+
+    def start(self):
+        env = dict(os.environ, BUCKTHORNSTACK_BOOT=str(self.file))
+        env["PYTHONPATH"] = os.pathsep.join(str(f) for f in FOLDERS)
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "buckthornd.py")],
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+        wait_for(lambda: self.readiness() is not None)
+        return self
+
+    def close(self):
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+        if self._process is not None:
+            self._process.wait(WAIT_S)
+
+    kill = close
+
+    def signal(self, number):
+        self._process.send_signal(number)
+
+    def stop(self):
+        """Stops as planned; returns the exit status."""
+        self.signal(signal.SIGTERM)
+        return self._process.wait(WAIT_S)
+
+    def running(self):
+        return self._process.poll() is None
+
+    def readiness(self):
+        """Returns the status of the readiness check; None if unanswered."""
+        conn = http.client.HTTPConnection(self.ports["ready"], timeout=1)
+        try:
+            conn.request("GET", "/api/readiness")
+            return conn.getresponse().status
+        except OSError:
+            return None
+        finally:
+            conn.close()
+
+    def metrics(self):
+        """Returns the exposition of the metrics."""
+        conn = http.client.HTTPConnection(
+            f"127.0.0.1:{self.metrics_port}", timeout=2
+        )
+        try:
+            conn.request("GET", "/metrics")
+            return conn.getresponse().read().decode()
+        finally:
+            conn.close()
+
+    def events(self, name):
+        """Returns the log's lines of an event."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            with contextlib.suppress(json.JSONDecodeError):
+                entry = json.loads(line)
+                if entry.get("event") == name:
+                    found.append(entry)
+        return found
+
+    def connect(self):
+        """Returns a raw connection of a caller."""
+        host, _, port = self.ports["outbound"].partition(":")
+        return socket.create_connection((host, int(port)), WAIT_S)
+
+    def call(
+        self,
+        request_id,
+        path="/browse/1",
+        method="GET",
+        body=None,
+        left_ms=2000,
+        host="shop.example",
+        headers=(),
+    ):
+        """Sends a caller's request and returns the reply."""
+        conn = http.client.HTTPConnection(
+            self.ports["outbound"], timeout=WAIT_S
+        )
+        sent = {"Host": host, PREFIX + "Deadline-Ms": str(left_ms)}
+        if request_id is not None:
+            sent[PREFIX + "Request-Id"] = request_id
+        sent.update(headers)
+        try:
+            conn.request(method, path, body, sent)
+            resp = conn.getresponse()
+            return Reply(resp.status, resp.getheaders(), resp.read())
+        finally:
+            conn.close()
+
+
+def path_entry(name, prefix, service="stock", **changes):
+    """Returns a route as the operator writes it."""
+    return {
+        "name": name,
+        "pathPrefix": prefix,
+        "kind": "idempotent",
+        "timeout": "1500ms",
+        "targetLatency": "800ms",
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **changes,
+    }
+
+
+BROWSE = path_entry("browse", "/browse/")
+BOOK = path_entry("book", "/book/", kind="non_idempotent")
+
+
+def configuration(number, *paths, **changes):
+    """Returns a configuration record's value."""
+    services = [
+        {"name": name, "healthPath": "/health", "maxConnections": 130}
+        for name in ("stock", "orders")
+    ]
+    record = {
+        "version": f"{number:08x}",
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 65536,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+        "virtualHosts": [
+            {"host": "shop.example", "paths": list(paths or (BROWSE, BOOK))}
+        ],
+        **changes,
+    }
+    return json.dumps(record).encode()
