--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -80,11 +80,16 @@
 
 
 class Answer:
-    """An answer as it was read."""
+    """An answer as it was read.
 
-    __slots__ = ("body", "headers", "keep_alive", "status")
+    Attributes:
+        began_s: When its headers were complete; steady time.
+    """
+
+    __slots__ = ("began_s", "body", "headers", "keep_alive", "status")
 
     def __init__(self) -> None:
+        self.began_s = 0.0
         self.status = 0
         self.headers: Headers = []
         self.body = b""
@@ -323,6 +328,7 @@
         self._in_message = False
         self._in_headers = False
         self._got_bytes = False
+        self._heard_s = 0.0
         self._ended: str | None = None
         self._waiter: asyncio.Future[None] | None = None
         self.used = False
@@ -361,6 +367,7 @@
         """Finds out how the answer ends."""
         answer = self._answer
         answer.status = self._parser.get_status_code()
+        answer.began_s = self._heard_s
         answer.keep_alive = self._parser.should_keep_alive()
         self._in_headers = False
         self._framed = (
@@ -392,6 +399,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the peer."""
         self._got_bytes = True
+        self._heard_s = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -454,6 +462,30 @@
                 self._waiter = None
         return self._complete.pop(0)
 
+    async def receive_in_time(
+        self, first_s: float, progress_s: float
+    ) -> Answer:
+        """Returns the next answer, however long it is, while it arrives.
+
+        Args:
+            first_s: The longest wait for its first byte, in seconds.
+            progress_s: The longest pause between bytes, in seconds.
+
+        Raises:
+            AnswerCutError: The connection ended before it was complete.
+            TimeoutError: Nothing came for too long.
+        """
+        limit_s = asyncio.get_running_loop().time() + first_s
+        while True:
+            try:
+                async with asyncio.timeout_at(limit_s):
+                    return await self.receive()
+            except TimeoutError:
+                heard_limit_s = self._heard_s + progress_s
+                if heard_limit_s <= limit_s:
+                    raise
+                limit_s = heard_limit_s
+
     def close(self) -> None:
         """Closes the connection at once."""
         if self._transport is not None:
--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -21,6 +21,7 @@
         site: Its availability zone.
         region: Its region.
         slots: How many requests its upstream runs at the same time.
+        link_mbps: Rate of its host's link, in Mbit/s.
         closed: The last lifetime that has said it leaves; empty if none has.
             A daemon that starts again must not send it requests, whatever
             late announcements say.
@@ -33,6 +34,7 @@
     site: ids.SiteName
     region: ids.RegionName
     slots: int
+    link_mbps: float = 0.0
     closed: ids.InstanceId = ids.InstanceId("")
     closed_born_ms: int = 0
 
@@ -84,9 +86,13 @@
         """Returns the registrations of a service."""
         return self._by_service.get(service, {}).values()
 
-    def in_region(self, region: ids.RegionName) -> list[ids.DaemonId]:
-        """Returns the daemons of a region."""
-        return [d for d, r in self._by_daemon.items() if r.region == region]
+    def links_in(self, region: ids.RegionName) -> dict[ids.DaemonId, float]:
+        """Returns the daemons of a region, with their links in Mbit/s."""
+        return {
+            daemon: r.link_mbps
+            for daemon, r in self._by_daemon.items()
+            if r.region == region
+        }
 
     def put(self, registration: Registration) -> bool:
         """Adds or replaces a registration; returns whether it is new."""
--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -1,15 +1,15 @@
 """Whom a daemon gets the log's records from.
 
-The daemons of a region are ranked by a hash of their id and form a heap: the
-first reads the log, and each of the others is fed by one that ranks before
-it. So the log's calls don't grow with the fleet, a version crosses the link
-between regions once, and a daemon that joins moves few others.
+The daemons of a region are ranked and form a heap: the first reads the log,
+and each of the others is fed by one that ranks before it. So the log's calls
+don't grow with the fleet, a version crosses the link between regions once,
+and a daemon that joins moves few others.
 
 A feed is trusted while the log's own word behind it is fresh. A daemon whose
 feed is stale, dead or behind reads the log itself at once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 from buckthorn_core import ids
@@ -28,17 +28,26 @@
 
 
 def parent_of(
-    me: ids.DaemonId, members: Iterable[ids.DaemonId]
+    me: ids.DaemonId, links: Mapping[ids.DaemonId, float]
 ) -> ids.DaemonId | None:
     """Returns the daemon that feeds another one; None for the first.
 
+    Hosts with wider links rank before others: a daemon feeds several, and
+    the first reads each version as a whole.
+
     Args:
         me: The daemon that is fed.
-        members: The daemons of its region.
+        links: The daemons of its region, with their hosts' links in Mbit/s.
     """
-    everyone = {*members, me}
-    order = roles.ranked(_KEY, everyone, len(everyone))
-    rank = order.index(me)
+    order = sorted(
+        links,
+        key=lambda daemon: (
+            int(math.log2(max(1.0, links[daemon]))),
+            roles.score(_KEY, daemon),
+        ),
+        reverse=True,
+    )
+    rank = order.index(me) if me in links else len(order)
     return order[(rank - 1) // FAN_OUT] if rank else None
 
 
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -19,6 +19,8 @@
 
 # How often the feed is looked at, in seconds.
 CHECK_S = 0.2
+# A daemon that starts waits this long for its feed, in seconds.
+START_WAIT_S = 1.0
 # A daemon that is behind another one for this long reads the log itself.
 BEHIND_S = 0.8
 
@@ -41,6 +43,7 @@
         self._cfg = cfg
         # Only the configuration must never be out of date for long.
         self._configurations = configurations
+        self._members = members
         self._followers = {f.topic: f for f in (configurations, members)}
         self._directory = directory
         self._links = all_links
@@ -48,6 +51,7 @@
         self._codec = compressors.ZstdDeltaCodec()
         self._state = feed_trees.FeedState()
         self._children: set[links.FrameConnection] = set()
+        self._starts_s = 0.0
         self._behind_since_s: float | None = None
         self._tree_seen: tuple[int, frozenset[ids.DaemonId]] | None = None
         self._tree_parent: ids.DaemonId | None = None
@@ -62,7 +66,13 @@
         server.on_end = self._children.discard
 
     def start(self) -> None:
-        """Starts to look after the feed."""
+        """Starts to look after the feed.
+
+        The configuration is read once the members are known, or after a
+        while: most daemons get it from another one.
+        """
+        self._configurations.read_directly(False)
+        self._starts_s = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._run())
 
     def close(self) -> None:
@@ -79,6 +89,7 @@
 
     def _check(self, now_s: float) -> None:
         state = self._state
+        self._check_start(now_s)
         if state.is_stale(now_s):
             self._fail("stale", now_s)
         self._check_behind(now_s)
@@ -98,6 +109,14 @@
         for conn in self._children:
             conn.send(frame)
 
+    def _check_start(self, now_s: float) -> None:
+        if self._configurations.synced.is_set():
+            return
+        waited_s = now_s - self._starts_s
+        first = self._members.synced.is_set() and self._state.parent is None
+        if (first and waited_s > CHECK_S) or waited_s > START_WAIT_S:
+            self._configurations.read_directly(True)
+
     def _check_behind(self, now_s: float) -> None:
         if not self._is_behind():
             self._behind_since_s = None
@@ -113,15 +132,16 @@
 
     def _parent(self, now_s: float) -> ids.DaemonId | None:
         """Returns the daemon that the tree names."""
-        if not all(f.synced.is_set() for f in self._followers.values()):
+        if not self._members.synced.is_set():
             return None
         resting = self._state.resting(now_s)
         seen = (self._directory.revision, resting)
         if seen != self._tree_seen:
             self._tree_seen = seen
-            members = self._directory.in_region(self._cfg.region)
+            members = self._directory.links_in(self._cfg.region)
             self._tree_parent = feed_trees.parent_of(
-                self._cfg.daemon, set(members) - resting
+                self._cfg.daemon,
+                {d: link for d, link in members.items() if d not in resting},
             )
         return self._tree_parent
 
@@ -139,7 +159,8 @@
             self._links.to(left).unsubscribe()
         # Until the new feed has said its first word.
         for follower in self._followers.values():
-            follower.read_directly(True)
+            if follower.synced.is_set():
+                follower.read_directly(True)
         parent = self._state.parent
         if parent is None:
             return
@@ -166,7 +187,8 @@
         if isinstance(frame, frames.Confirm):
             self._state.confirm(frame.age_s, now_s)
             for fed in self._followers.values():
-                fed.read_directly(False)
+                if fed.synced.is_set():
+                    fed.read_directly(False)
             self._confirm_children(now_s)
             return
         follower = self._followers.get(frame.topic)
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -158,7 +158,6 @@
 
     async def _step(self) -> None:
         start = None if self._anew else self.table.next
-        started_s = asyncio.get_running_loop().time()
         self._read = asyncio.create_task(self._fetch(start))
         try:
             await asyncio.wait((self._read,))
@@ -175,10 +174,7 @@
         if start is None:
             self._anew = False
         self.take(batch.records, start, batch.end)
-        # An empty long read has seen the log's end when it returned, a read
-        # with records when it was sent at the latest.
-        now_s = asyncio.get_running_loop().time()
-        self.confirmed_s = started_s if batch.records else now_s
+        self.confirmed_s = batch.as_of_s
         self.on_confirmed()
         if start is not None and batch.records:
             await asyncio.sleep(GATHER_S)
--- a/packages/sidecar/buckthorn_sidecar/ports.py
+++ b/packages/sidecar/buckthorn_sidecar/ports.py
@@ -69,10 +69,17 @@
 
 
 class Batch(NamedTuple):
-    """Records, and the offset to read on from."""
+    """Records, and the offset to read on from.
+
+    Attributes:
+        records: The records.
+        end: The offset to read on from.
+        as_of_s: When the log had no other records; steady time.
+    """
 
     records: Sequence[topic_tables.Record]
     end: ids.Offset
+    as_of_s: float
 
 
 class KeyedLog(Protocol):
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -30,7 +30,7 @@
         retry_ratio: Retries that a service bears, as a share of requests.
         retry_constant: Retries that it bears besides, in a window.
         retry_window_s: Length of that window, in seconds.
-        keep_s: How long the log keeps records, in seconds.
+        link_mbps: Rate of the host's link, in Mbit/s.
     """
 
     daemon: ids.DaemonId
@@ -48,4 +48,4 @@
     retry_ratio: float = 0.2
     retry_constant: float = 60.0
     retry_window_s: float = 10.0
-    keep_s: float = 300.0
+    link_mbps: float = 100.0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -227,6 +227,7 @@
                 cfg.site,
                 cfg.region,
                 slots,
+                cfg.link_mbps,
                 closed,
                 closed_born_ms,
             )
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -8,21 +8,21 @@
 
 
 def members(count):
-    return [f"d-{n}" for n in range(count)]
+    return {f"d-{n}": 7.0 for n in range(count)}
 
 
 @pytest.mark.parametrize("count", [1, 2, 9, 80, 3_100])
 def test_all_but_one_are_fed_and_nobody_feeds_many(count):
     """Guards against calls to the log that grow with the fleet, or a cycle."""
     everyone = members(count)
-    sample = everyone[:: max(1, count // 200)]
+    sample = list(everyone)[:: max(1, count // 200)]
     parents = {m: feed_trees.parent_of(m, everyone) for m in sample}
     fed_by = collections.Counter(p for p in parents.values() if p)
     assert max(fed_by.values(), default=0) <= feed_trees.FAN_OUT
     for member in sample[:20]:
-        hops = 0
-        while member is not None:
-            member = feed_trees.parent_of(member, everyone)
+        above, hops = member, 0
+        while above is not None:
+            above = feed_trees.parent_of(above, everyone)
             hops += 1
         assert hops <= 6
 
@@ -37,7 +37,15 @@
 def test_a_daemon_that_is_not_listed_yet_finds_its_place():
     """Guards against a start that fails before the own record is seen."""
     everyone = members(5)
-    assert feed_trees.parent_of("d-new", everyone) in {*everyone, None}
+    assert feed_trees.parent_of("d-new", everyone) in everyone
+
+
+def test_hosts_with_wide_links_feed_the_others():
+    """Guards against a thin link that carries a region's configuration."""
+    everyone = {**members(60), "d-wide": 140.0}
+    assert feed_trees.parent_of("d-wide", everyone) is None
+    fed = [feed_trees.parent_of(m, everyone) for m in members(60)]
+    assert fed.count("d-wide") == feed_trees.FAN_OUT
 
 
 def test_a_silent_feed_becomes_stale():
