--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -23,7 +23,14 @@
 # daemon refuses a few hundred requests a second in a burst, and a line costs
 # about 50 us.
 RATED = frozenset(
-    {"request", "no_route", "bad_request", "foreign_answer", "link_lost"}
+    {
+        "request",
+        "no_route",
+        "bad_request",
+        "foreign_answer",
+        "link_lost",
+        "upstream_failed",
+    }
 )
 RATED_PER_S = 100
 # Fields that say whose state changed; events of others are other events.
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -41,14 +41,33 @@
 
 
 class Try(NamedTuple):
-    """One try of a request, for the log."""
+    """One try of a request, for the log.
+
+    Attributes:
+        daemon: Where it was sent.
+        outcome: Status of the answer, or code of the error.
+        reason: What the other daemon says of the error.
+        seconds: How long it took.
+        load: The load by which the daemon was chosen.
+        load_age_s: Age of that report, in seconds.
+    """
 
     daemon: ids.DaemonId
     outcome: str
+    reason: str
     seconds: float
     load: placements.Load
     load_age_s: float
 
+    def __str__(self) -> str:
+        load = self.load
+        age_s = min(99.0, self.load_age_s)
+        text = (
+            f"{self.daemon}:{self.outcome}:{self.seconds:.3f}s"
+            f":{load.running}+{load.waiting}/{load.slots}@{age_s:.2f}s"
+        )
+        return f"{text} ({self.reason})" if self.reason else text
+
 
 class Call:
     """A request of a caller on its way.
@@ -200,12 +219,7 @@
             outcome=outcome,
             seconds=round(seconds, 3),
             left_s=call.says.left_s,
-            tries=[
-                f"{t.daemon}:{t.outcome}:{t.seconds:.3f}s"
-                f":{t.load.running}+{t.load.waiting}/{t.load.slots}"
-                f"@{min(99.0, t.load_age_s):.2f}s"
-                for t in call.tries
-            ],
+            tries=[str(t) for t in call.tries],
         )
 
     async def _serve(self, call: Call) -> http1.Answer:
@@ -318,14 +332,13 @@
         seen = self._placements.seen(to)
         load, load_age_s = seen.load, started_s - seen.reported_s
         self._placements.sent(to)
-        outcome = "cancelled"
+        outcome, reason = "cancelled", ""
         try:
             result = await self._send(call, to)
-            outcome = (
-                str(result.status)
-                if isinstance(result, frames.Answer)
-                else f"{result.code.value}"
-            )
+            if isinstance(result, frames.Answer):
+                outcome = str(result.status)
+            else:
+                outcome, reason = result.code.value, result.message
             self._learn(to, result)
             return result
         finally:
@@ -333,6 +346,7 @@
                 Try(
                     to.daemon,
                     outcome,
+                    reason,
                     loop.time() - started_s,
                     load,
                     load_age_s,
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -233,6 +233,7 @@
         finish_by_s = loop.time() + req.left_s
         ticket = None
         ran_s = None
+        started_s = loop.time()
         try:
             ticket = await self._admit(req, finish_by_s)
             conn, data = await self._prepare(req, finish_by_s)
@@ -255,6 +256,15 @@
                 arrived,
             )
         except errors.RequestError as exc:
+            if arrived:
+                _logger.info(
+                    "upstream_failed",
+                    request=req.request_id,
+                    attempt=req.attempt,
+                    route=req.route,
+                    error=str(exc),
+                    seconds=round(loop.time() - started_s, 3),
+                )
             return self._failure(req.attempt, exc, arrived)
         finally:
             self._committed.discard(req.attempt)
