--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -14,6 +14,9 @@
     "buckthorn_announce_failures": (
         "Children that did not take the announcement of a version"
     ),
+    "buckthorn_bad_records": (
+        "Records of the log that could not be read, by kind"
+    ),
     "buckthorn_burn_copy_failures": (
         "Failed tries to take over the history of burn rates"
     ),
@@ -39,6 +42,7 @@
         "Requests for the upstream beside this daemon that were refused or"
         " failed, by code"
     ),
+    "buckthorn_log_failures": "Failed calls of the log, by topic",
     "buckthorn_log_records": "Records read from the log, by verdict",
     "buckthorn_operation_appends": ("Appends of claims to the log, by result"),
     "buckthorn_operation_read_failures": (
--- a/tests/docs/test_logs_and_metrics.py
+++ b/tests/docs/test_logs_and_metrics.py
@@ -14,7 +14,8 @@
 
 def calls():
     """Yields called names and first arguments in the packages."""
-    for path in (ROOT / "packages").rglob("*.py"):
+    folders = (ROOT / "packages", ROOT / "platform")
+    for path in (p for folder in folders for p in folder.rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if isinstance(node, ast.Call):
                 first = node.args[0] if node.args else None
