--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -156,7 +156,9 @@
             self._subscribing.cancel()
         left = self._directory.get(old) if old is not None else None
         if left is not None:
-            self._links.to(left).unsubscribe()
+            link = self._links.to(left)
+            link.unsubscribe()
+            link.close_if_quiet(asyncio.get_running_loop().time())
         # Until the new feed has said its first word.
         for follower in self._followers.values():
             if follower.synced.is_set():
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -18,6 +18,7 @@
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
 from buckthorn_core import placements
+from buckthorn_core import silences
 from buckthorn_core import slot_queues
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ports
@@ -31,8 +32,6 @@
 # link is noticed within 1.5 s.
 OUTCOME_S = 6.0
 MAX_OUTCOMES = 8_192
-# After the upstream could not be reached it gets no request for this long.
-DOWN_S = 0.3
 HEALTH_TIMEOUT_S = 0.3
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -68,7 +67,7 @@
         ] = collections.OrderedDict()
         # Tries of requests that run and must not run a second time.
         self._committed: set[str] = set()
-        self._down_until_s = float("-inf")
+        self._silence = silences.Silence()
         self._stopping = False
         self.version = 0
         self.boot = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
@@ -92,7 +91,7 @@
 
     def load(self) -> placements.Load:
         """Returns the upstream's load."""
-        closed = self._closed_reason() is not None
+        closed = self._stopping or not self.lifetimes.takes_work
         return placements.Load(
             0 if closed else self.queue.slots,
             self.queue.running,
@@ -118,7 +117,7 @@
         if change is lifetimes.Change.NEW_LIFETIME:
             if not assumed:
                 self._pool.set_address(said.address)
-            self._down_until_s = float("-inf")
+            self._silence.forget()
             _logger.info(
                 "upstream_lifetime",
                 instance=said.instance,
@@ -241,6 +240,7 @@
             if not req.idempotent:
                 self._committed.add(req.attempt)
             started_s = loop.time()
+            self._silence.started(req.attempt, started_s)
             async with asyncio.timeout_at(finish_by_s + ANSWER_SLACK_S):
                 exchange = await self._pool.exchange(
                     conn, req.method, data, req.request_id
@@ -268,6 +268,7 @@
             return self._failure(req.attempt, exc, arrived)
         finally:
             self._committed.discard(req.attempt)
+            self._silence.ended(req.attempt, ran_s is not None, loop.time())
             if ticket is not None:
                 self.queue.leave(ticket, ran_s)
                 self._start_waiting()
@@ -277,8 +278,9 @@
             return "this daemon is stopping"
         if not self.lifetimes.takes_work:
             return f"the upstream is {self.lifetimes.state.value}"
-        if self._down_until_s > asyncio.get_running_loop().time():
-            return "the upstream could not be reached"
+        now_s = asyncio.get_running_loop().time()
+        if self._silence.is_closed(self.queue.mean_run_s, now_s):
+            return "the upstream gives no sign of life"
         return None
 
     async def _admit(
@@ -369,11 +371,8 @@
         try:
             conn = await self._pool.take()
         except errors.RequestError:
-            if self._down_until_s < loop.time():
-                _logger.warning(
-                    "upstream_unreachable", service=self._cfg.service
-                )
-            self._down_until_s = loop.time() + DOWN_S
+            _logger.warning("upstream_unreachable", service=self._cfg.service)
+            self._silence.unreachable(loop.time())
             raise
         try:
             instance = self._instance()
@@ -411,6 +410,9 @@
         self, req: frames.Request, exchange: upstreams.Exchange
     ) -> frames.Frame:
         answer, says = exchange
+        if says.wrong_instance:
+            # Another lifetime has the address, and has not announced itself.
+            self._silence.unreachable(asyncio.get_running_loop().time())
         if says.not_run or says.wrong_instance:
             raise errors.RequestError(
                 errors.Code.UPSTREAM_SHED,
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -232,6 +232,13 @@
         conn = await self.connect()
         conn.send(frame)
 
+    def close_if_quiet(self, now_s: float) -> None:
+        """Closes a connection on which nothing has come for long."""
+        conn = self._conn
+        if conn is not None and now_s - conn.heard_s > SILENCE_S:
+            _logger.warning("link_silent", daemon=self.to.daemon)
+            conn.transport.abort()
+
     def unsubscribe(self) -> None:
         """Ends being fed by the other daemon."""
         if self._conn is not None:
--- a/packages/sidecar/buckthorn_sidecar/upstreams.py
+++ b/packages/sidecar/buckthorn_sidecar/upstreams.py
@@ -13,16 +13,19 @@
 
 from buckthorn_adapters import http1
 from buckthorn_core import errors
+from buckthorn_core import idle_limits
 from buckthorn_core import ids
 from buckthorn_sidecar import ports
 
 # The upstream is on the same host; a full accept queue drops the opening
 # packet for a second.
 CONNECT_TIMEOUT_S = 0.5
-# Upstreams close idle connections after 10 s and may say less. A connection
-# is given up at this share of what they say, and after this time otherwise.
+# A connection is given up at this share of the idle time that the upstream
+# says it keeps it.
 IDLE_SHARE = 0.5
-IDLE_S = 4.0
+# A kept connection that is reset this soon after a request, in seconds, is
+# taken for one that was forgotten while it was idle.
+FORGOTTEN_S = 0.01
 MAX_IDLE = 64
 # Answers of both meshes have at most 30 KB.
 MAX_ANSWER_BYTES = 33_554_432
@@ -43,6 +46,7 @@
     def __init__(self, dialect: ports.Dialect):
         self._dialect = dialect
         self._idle: list[http1.Connection] = []
+        self._idle_limit = idle_limits.IdleLimit()
         self._address = ids.Address("")
 
     def set_address(self, address: ids.Address) -> None:
@@ -65,9 +69,9 @@
         now_s = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
-            limit_s = IDLE_S
+            limit_s = self._idle_limit.limit_s(now_s)
             if conn.idle_limit_s is not None:
-                limit_s = min(IDLE_S, conn.idle_limit_s * IDLE_SHARE)
+                limit_s = min(limit_s, conn.idle_limit_s * IDLE_SHARE)
             if conn.clean and now_s - conn.idle_since_s < limit_s:
                 return conn
             conn.close()
@@ -110,11 +114,13 @@
                 may have run.
         """
         done = False
+        sent_s = asyncio.get_running_loop().time()
         try:
             conn.send(data, head_only=method == "HEAD")
             exchange, foreign = await self._receive(conn, request_id)
             done = True
         except http1.AnswerCutError as exc:
+            self._note_cut(conn, exc, sent_s)
             raise errors.RequestError(
                 errors.Code.UPSTREAM_FAILED, str(exc)
             ) from exc
@@ -133,6 +139,13 @@
             conn.close()
         return exchange
 
+    def _note_cut(
+        self, conn: http1.Connection, exc: http1.AnswerCutError, sent_s: float
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if conn.used and not exc.started and now_s - sent_s < FORGOTTEN_S:
+            self._idle_limit.lost(sent_s - conn.idle_since_s, now_s)
+
     async def _receive(
         self, conn: http1.Connection, request_id: ids.RequestId
     ) -> tuple[Exchange, bool]:
