Follow the first run times closely; feed children before anything is known

Cause: after a restart the upstream runs twice as long and the average followed slowly; a daemon that knew nothing yet refused those it feeds, which then waited 1.6 s.

--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -18,10 +18,13 @@
 from buckthorn_core import errors
 from buckthorn_core import ids
 
-# Assumed run time before a route has finished a request here, in seconds. The
-# calls of both meshes take 20 to 300 ms.
+# Average run time before anything has run, in seconds. The calls of both
+# meshes take 20 to 300 ms.
 INITIAL_RUN_S = 0.15
-# Weight of the newest run time in the average.
+# Run time of a route before a request of it has run, as a share of its target.
+INITIAL_RUN_SHARE = 0.35
+# Weight of the newest run time in the average. The first ones count more: an
+# upstream that has just started runs twice as long.
 SMOOTHING = 0.1
 # Share of the time until a request must start that it may be expected to
 # wait. Run times vary by a third, so an expected wait up to the last moment
@@ -84,6 +87,21 @@
         return (self.late, work.priority, work.caller_until_s, self.number)
 
 
+class _Average:
+    """An exponential average that follows its first values closely."""
+
+    __slots__ = ("_count", "value")
+
+    def __init__(self, initial: float):
+        self.value = initial
+        self._count = 0
+
+    def add(self, value: float) -> None:
+        self._count += 1
+        weight = max(SMOOTHING, 1 / self._count)
+        self.value += weight * (value - self.value)
+
+
 class _Rate:
     """Arrivals a second, averaged with exponential decay."""
 
@@ -109,8 +127,8 @@
         self._running: set[int] = set()
         self._waiting: list[Ticket] = []
         self._numbers = 0
-        self._run_s: dict[ids.RouteName, float] = {}
-        self._mean_s = INITIAL_RUN_S
+        self._run_s: dict[ids.RouteName, _Average] = {}
+        self._mean = _Average(INITIAL_RUN_S)
         self._rates: dict[int, _Rate] = {}
 
     @property
@@ -126,11 +144,14 @@
     @property
     def mean_run_s(self) -> float:
         """Average run time of all routes, in seconds."""
-        return self._mean_s
+        return self._mean.value
 
-    def run_s(self, route: ids.RouteName) -> float:
-        """Returns how long a request of a route is expected to run."""
-        return self._run_s.get(route, self._mean_s)
+    def run_s(self, work: Work) -> float:
+        """Returns how long a request is expected to run, in seconds."""
+        found = self._run_s.get(work.route)
+        if found is None:
+            return INITIAL_RUN_SHARE * work.target_s
+        return found.value
 
     def enter(self, now_s: float, work: Work) -> tuple[Ticket, list[Ticket]]:
         """Takes a request in, into a slot or the queue.
@@ -156,7 +177,7 @@
         return ticket, self._evict(now_s)
 
     def _ticket(self, now_s: float, work: Work) -> Ticket:
-        needs_s = self.run_s(work.route) + RETURN_S
+        needs_s = self.run_s(work) + RETURN_S
         start_by_s = min(work.target_at_s, work.finish_by_s) - needs_s
         late = start_by_s < now_s
         if late:
@@ -181,9 +202,9 @@
         self._running.discard(ticket.number)
         self._waiting = [t for t in self._waiting if t.number != ticket.number]
         if ran_s is not None:
-            old = self.run_s(ticket.work.route)
-            self._run_s[ticket.work.route] = old + SMOOTHING * (ran_s - old)
-            self._mean_s += SMOOTHING * (ran_s - self._mean_s)
+            route = ticket.work.route
+            self._run_s.setdefault(route, _Average(ran_s)).add(ran_s)
+            self._mean.add(ran_s)
 
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Forgets the run times of routes that are gone."""
@@ -213,7 +234,7 @@
         """Returns the expected wait behind a number of waiting requests."""
         slots = max(1, self.slots)
         busy = len(self._running) + ahead - self.slots + 1
-        return max(0, busy) * self._mean_s / slots
+        return max(0, busy) * self._mean.value / slots
 
     def retry_after_s(self) -> float:
         """Returns when room is expected for another request, in seconds."""
@@ -236,7 +257,7 @@
             for priority, rate in self._rates.items()
             if priority < ticket.work.priority
         )
-        share = per_s * self._mean_s / max(1, self.slots)
+        share = per_s * self._mean.value / max(1, self.slots)
         return min(MAX_URGENT_SHARE, share)
 
     def _evict(self, now_s: float) -> list[Ticket]:
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -233,17 +233,17 @@
         if not frame.positions:
             self._children.discard(conn)
             return
+        # What is not known here yet goes to the children when it is read.
+        self._children.add(conn)
         for topic, follower in self._followers.items():
             position = frame.positions.get(topic)
             start = None if position is None else ids.Offset(position)
             end = follower.table.next
             if end is None:
-                # Nothing is known here; the other daemon reads the log.
-                return
+                continue
             records = follower.table.since(start)
             if records or start is None:
                 conn.send(self._records(topic, start, end, records, {}))
-        self._children.add(conn)
 
     def _on_news(
         self, follower: following.TopicFollower, start: ids.Offset | None
--- a/tests/core/test_slot_queues.py
+++ b/tests/core/test_slot_queues.py
@@ -85,6 +85,7 @@
 def test_order_is_by_priority_and_then_by_the_callers_deadline():
     """Guards against an urgent request, or a returned one, that goes last."""
     queue = slot_queues.SlotQueue(1)
+    warm(queue, 0.01)
     first, _ = queue.enter(0.0, work())
     tickets = {
         name: queue.enter(0.0, entered)[0]
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -410,6 +410,30 @@
     assert far.ran("q-1") == 1
 
 
+def test_a_version_reaches_those_that_are_fed(pair, store):
+    """Guards against a daemon that waits for a feed that is gone.
+
+    The daemons of a region feed each other; whichever is killed, the other
+    one has the next version in time.
+    """
+    host, other, _, record = pair
+    store.put("keyed.op", "config", record)
+    for daemon in (host, other):
+        standins.wait_for(lambda d=daemon: d.events("version_in_force"))
+    standins.wait_for(lambda: host.call("q-1", "/orders/1").status == 200)
+    for number, killed, left in ((5, other, host), (6, host, other)):
+        killed.kill()
+        store.put("keyed.op", "config", standins.configuration(number))
+        standins.wait_for(
+            lambda d=left, n=number: any(
+                e["version"] == n for e in d.events("version_in_force")
+            ),
+            2.5,
+        )
+        killed.start()
+        standins.wait_for(lambda d=killed: d.readiness() == 200)
+
+
 def test_a_dead_daemon_does_not_hold_up_callers(pair, store):
     """Guards against requests that wait for a host that is gone."""
     host, other, _, record = pair
