--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -21,8 +21,10 @@
 # the read that follows it stays within the time in which a version must be in
 # force, 2.5 s after its acceptance.
 STALE_S = 1.6
-# A daemon whose feed has failed feeds nobody here for this long, in seconds.
+# A daemon whose feed has failed is not followed for this long, in seconds; the
+# time doubles with each failure, since hosts are lost for good.
 REST_S = 5.0
+MAX_REST_S = 300.0
 
 _KEY = "feed"
 
@@ -58,6 +60,7 @@
         self.parent: ids.DaemonId | None = None
         self._confirmed_s = -math.inf
         self._rests_until_s: dict[ids.DaemonId, float] = {}
+        self._failures: dict[ids.DaemonId, int] = {}
 
     def resting(self, now_s: float) -> frozenset[ids.DaemonId]:
         """Returns the daemons whose feed has failed a short time ago."""
@@ -79,6 +82,8 @@
 
     def confirm(self, age_s: float, now_s: float) -> None:
         """Notes the log's word of an age, from the feed or the log itself."""
+        if self.parent is not None:
+            self._failures.pop(self.parent, None)
         self._confirmed_s = max(self._confirmed_s, now_s - age_s)
 
     def age_s(self, now_s: float) -> float:
@@ -87,8 +92,12 @@
 
     def fail(self, now_s: float) -> None:
         """Notes that the feed has ended; the log is read directly."""
-        if self.parent is not None:
-            self._rests_until_s[self.parent] = now_s + REST_S
+        parent = self.parent
+        if parent is not None:
+            failures = self._failures.get(parent, 0)
+            rest_s = min(MAX_REST_S, REST_S * 2.0**failures)
+            self._rests_until_s[parent] = now_s + rest_s
+            self._failures[parent] = failures + 1
         self.parent = None
 
     def is_stale(self, now_s: float) -> bool:
--- a/packages/sidecar/buckthorn_sidecar/upstreams.py
+++ b/packages/sidecar/buckthorn_sidecar/upstreams.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 from typing import NamedTuple
 
 import loguru
@@ -169,10 +168,3 @@
         conn.idle_since_s = asyncio.get_running_loop().time()
         conn.idle_limit_s = limit_s
         self._idle.append(conn)
-
-
-async def finish(task: "asyncio.Task[None]") -> None:
-    """Cancels a task and waits for its end."""
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -71,6 +71,23 @@
     assert state.resting(100.0 + feed_trees.REST_S) == frozenset()
 
 
+def test_a_host_that_is_gone_is_tried_ever_more_rarely():
+    """Guards against a region that waits for a lost host again and again."""
+    state = feed_trees.FeedState()
+    now_s, tries = 0.0, 0
+    while now_s < 600.0:
+        if "d-1" not in state.resting(now_s):
+            state.follow("d-1", now_s)
+            state.fail(now_s + feed_trees.STALE_S)
+            tries += 1
+        now_s += 1.0
+    assert tries <= 8
+    state.follow("d-1", now_s)
+    state.confirm(0.1, now_s)
+    state.fail(now_s)
+    assert state.resting(now_s + feed_trees.REST_S) == frozenset()
+
+
 def test_the_reader_of_the_log_is_never_stale():
     """Guards against a first daemon that waits for a feed."""
     state = feed_trees.FeedState()
