--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -76,6 +76,7 @@
         route: Its route in the version that it started with.
         service: The service that runs it.
         finish_by_s: When it gets its final answer at the latest.
+        version: The configuration version that it started with.
         arrivals: Upstreams that it has reached.
         region_full: Whether a full upstream of this region refused it.
         tries: What happened so far.
@@ -100,6 +101,7 @@
         self.finish_by_s = now_s + left_s
         self.target_at_s = now_s + route.target_s
         self.caller_until_s = now_s + (says.left_s or route.timeout_s)
+        self.version = 0
         self.arrivals = 0
         self.region_full = False
         self.tried: set[ids.DaemonId] = set()
@@ -188,6 +190,7 @@
             )
         service = self._dealer.deal(route)
         call = Call(req, says, route, service, loop.time())
+        call.version = self._holder.number
         self._shares.add_request(service, loop.time())
         outcome = "caller_gone"
         try:
@@ -215,7 +218,7 @@
             request=call.says.request_id,
             route=call.route.name,
             service=call.service,
-            version=self._holder.number,
+            version=call.version,
             outcome=outcome,
             seconds=round(seconds, 3),
             left_s=call.says.left_s,
