Let daemons next to the first read the log before the others

Daemons further from the log now wait 2.2 s instead of 1.6 s, new ones wait for their feed, and a version must be missed for 1.6 s before another way is looked for.

--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Mapping
 import math
+from typing import NamedTuple
 
 from buckthorn_core import ids
 from buckthorn_core import roles
@@ -19,8 +20,13 @@
 FAN_OUT = 8
 # Age of the log's word beyond which a feed is not trusted, in seconds. With
 # the read that follows it stays within the time in which a version must be in
-# force, 2.5 s after its acceptance.
+# force, 2.5 s after its acceptance; regions with more than FAN_OUT + 1 daemons
+# have 3 s and more.
 STALE_S = 1.6
+# Daemons further from the log wait longer, in seconds: when the first one is
+# slow, those it feeds directly read the log, and feed the others. All reading
+# at once would fill the link between regions.
+DEEP_STALE_S = 2.2
 # A daemon whose feed has failed is not followed for this long, in seconds; the
 # time doubles with each failure, since hosts are lost for good.
 REST_S = 5.0
@@ -29,10 +35,23 @@
 _KEY = "feed"
 
 
-def parent_of(
-    me: ids.DaemonId, links: Mapping[ids.DaemonId, float]
-) -> ids.DaemonId | None:
-    """Returns the daemon that feeds another one; None for the first.
+class Place(NamedTuple):
+    """A daemon's place in the tree.
+
+    Attributes:
+        parent: The daemon that feeds it; None for the first.
+        depth: Daemons between it and the log.
+    """
+
+    parent: ids.DaemonId | None
+    depth: int
+
+
+FIRST = Place(None, 0)
+
+
+def place_of(me: ids.DaemonId, links: Mapping[ids.DaemonId, float]) -> Place:
+    """Returns a daemon's place in the tree.
 
     Hosts with wider links rank before others: a daemon feeds several, and
     the first reads each version as a whole.
@@ -50,7 +69,14 @@
         reverse=True,
     )
     rank = order.index(me) if me in links else len(order)
-    return order[(rank - 1) // FAN_OUT] if rank else None
+    if not rank:
+        return FIRST
+    parent_rank = above = (rank - 1) // FAN_OUT
+    depth = 1
+    while above:
+        above = (above - 1) // FAN_OUT
+        depth += 1
+    return Place(order[parent_rank], depth)
 
 
 class FeedState:
@@ -58,6 +84,7 @@
 
     def __init__(self) -> None:
         self.parent: ids.DaemonId | None = None
+        self._stale_s = STALE_S
         self._confirmed_s = -math.inf
         self._rests_until_s: dict[ids.DaemonId, float] = {}
         self._failures: dict[ids.DaemonId, int] = {}
@@ -71,11 +98,12 @@
         }
         return frozenset(self._rests_until_s)
 
-    def follow(self, parent: ids.DaemonId | None, now_s: float) -> bool:
-        """Takes the parent that the tree names; returns whether it changed."""
-        if parent == self.parent:
+    def follow(self, place: Place, now_s: float) -> bool:
+        """Takes the place in the tree; returns whether the parent changed."""
+        self._stale_s = STALE_S if place.depth <= 1 else DEEP_STALE_S
+        if place.parent == self.parent:
             return False
-        self.parent = parent
+        self.parent = place.parent
         # The new feed has the time of a stale one to say its first word.
         self._confirmed_s = max(self._confirmed_s, now_s)
         return True
@@ -102,4 +130,4 @@
 
     def is_stale(self, now_s: float) -> bool:
         """Returns whether the feed is no longer trusted."""
-        return self.parent is not None and self.age_s(now_s) > STALE_S
+        return self.parent is not None and self.age_s(now_s) > self._stale_s
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -19,10 +19,13 @@
 
 # How often the feed is looked at, in seconds.
 CHECK_S = 0.2
-# A daemon that starts waits this long for its feed, in seconds.
-START_WAIT_S = 1.0
-# A daemon that is behind another one for this long reads the log itself.
-BEHIND_S = 0.8
+# A daemon that starts waits this long for the members, in seconds, before it
+# reads the configuration without them.
+START_WAIT_S = 2.0
+# A daemon that misses a version for this long that another one has looks for
+# another feed, or reads all anew, in seconds. Feeds in two regions differ by
+# up to a second.
+BEHIND_S = 1.6
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -38,8 +41,21 @@
         directory: directories.Directory,
         all_links: links.Links,
         server: links.LinkServer,
-        is_behind: Callable[[], bool],
+        in_force: Callable[[], int],
+        heard_of: Callable[[], int],
     ):
+        """Creates the feed.
+
+        Args:
+            cfg: The settings.
+            configurations: Follows the configuration.
+            members: Follows the members.
+            directory: The members.
+            all_links: Connections to other daemons.
+            server: Takes the connections of other daemons.
+            in_force: Returns the version in force here.
+            heard_of: Returns the newest version that another daemon has.
+        """
         self._cfg = cfg
         # Only the configuration must never be out of date for long.
         self._configurations = configurations
@@ -47,14 +63,16 @@
         self._followers = {f.topic: f for f in (configurations, members)}
         self._directory = directory
         self._links = all_links
-        self._is_behind = is_behind
+        self._in_force = in_force
+        self._heard_of = heard_of
         self._codec = compressors.ZstdDeltaCodec()
         self._state = feed_trees.FeedState()
         self._children: set[links.FrameConnection] = set()
         self._starts_s = 0.0
-        self._behind_since_s: float | None = None
+        # A version that others have, and since when it is missed.
+        self._missing: tuple[int, float] | None = None
         self._tree_seen: tuple[int, frozenset[ids.DaemonId]] | None = None
-        self._tree_parent: ids.DaemonId | None = None
+        self._tree_place = feed_trees.FIRST
         self._subscribing: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self._sent: dict[tuple[str, str], topic_tables.Record] = {}
@@ -94,7 +112,7 @@
             self._fail("stale", now_s)
         self._check_behind(now_s)
         old = state.parent
-        if state.follow(self._parent(now_s), now_s):
+        if state.follow(self._place(now_s), now_s):
             self._switch(old)
 
     def _on_log_confirmed(self) -> None:
@@ -113,37 +131,43 @@
         if self._configurations.synced.is_set():
             return
         waited_s = now_s - self._starts_s
-        first = self._members.synced.is_set() and self._state.parent is None
-        if (first and waited_s > CHECK_S) or waited_s > START_WAIT_S:
+        if self._members.synced.is_set():
+            direct = self._state.parent is None and waited_s > CHECK_S
+        else:
+            direct = waited_s > START_WAIT_S
+        if direct:
             self._configurations.read_directly(True)
 
     def _check_behind(self, now_s: float) -> None:
-        if not self._is_behind():
-            self._behind_since_s = None
-        elif self._behind_since_s is None:
-            self._behind_since_s = now_s
-        elif now_s - self._behind_since_s >= BEHIND_S:
-            self._behind_since_s = None
-            _logger.warning("log_read_again")
+        """Looks for another way if a version is missed that others have."""
+        heard_of = self._heard_of()
+        if heard_of <= self._in_force():
+            self._missing = None
+        elif self._missing is None or self._missing[0] <= self._in_force():
+            self._missing = (heard_of, now_s)
+        elif now_s - self._missing[1] >= BEHIND_S:
+            self._missing = None
+            _logger.warning("log_read_again", version=heard_of)
             if self._state.parent is not None:
                 self._fail("behind", now_s)
-            for follower in self._followers.values():
-                follower.read_again()
+            else:
+                for follower in self._followers.values():
+                    follower.read_again()
 
-    def _parent(self, now_s: float) -> ids.DaemonId | None:
-        """Returns the daemon that the tree names."""
+    def _place(self, now_s: float) -> feed_trees.Place:
+        """Returns this daemon's place in the tree."""
         if not self._members.synced.is_set():
-            return None
+            return feed_trees.FIRST
         resting = self._state.resting(now_s)
         seen = (self._directory.revision, resting)
         if seen != self._tree_seen:
             self._tree_seen = seen
             members = self._directory.links_in(self._cfg.region)
-            self._tree_parent = feed_trees.parent_of(
+            self._tree_place = feed_trees.place_of(
                 self._cfg.daemon,
                 {d: link for d, link in members.items() if d not in resting},
             )
-        return self._tree_parent
+        return self._tree_place
 
     def _fail(self, why: str, now_s: float) -> None:
         old = self._state.parent
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -109,7 +109,8 @@
             self.directory,
             self._egress.links,
             self._link_server,
-            self._is_behind,
+            lambda: self.holder.number,
+            lambda: self._egress.heard_version,
         )
         self._registrar = following.Registrar(
             log, topics.members, cfg.daemon, self.directory
@@ -274,10 +275,6 @@
         self.ingress.queue.keep_only(names)
         self._egress.keep_only(names)
 
-    def _is_behind(self) -> bool:
-        """Returns whether another daemon has a newer configuration."""
-        return self._egress.heard_version > self.holder.number
-
 
 def text_answer(status: int, body: bytes) -> http1.Answer:
     """Returns an answer with a text."""
