--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -170,8 +170,9 @@
         usable.extend(c for c in far if self._has_room(c, now_s))
         ask = [c for c in far if not self._is_fresh(c, now_s)]
         if not usable and not region_full:
-            # Nothing is known to serve: try what has not been tried.
-            usable = near or far
+            # Nothing is known to serve: try what is not known to be closed.
+            open_near = [c for c in near if not self._is_closed(c, now_s)]
+            usable = open_near or far or near
         if not usable:
             return Choice(None, ask)
         scores = {
@@ -186,9 +187,11 @@
         return now_s - self.seen(to).reported_s <= REPORT_S
 
     def _takes_work(self, to: directories.Registration, now_s: float) -> bool:
-        seen = self.seen(to)
-        closed = self._is_fresh(to, now_s) and seen.load.slots == 0
-        return seen.avoid_until_s <= now_s and not closed
+        rests = self.seen(to).avoid_until_s > now_s
+        return not rests and not self._is_closed(to, now_s)
+
+    def _is_closed(self, to: directories.Registration, now_s: float) -> bool:
+        return self._is_fresh(to, now_s) and self.seen(to).load.slots == 0
 
     def _has_room(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
--- a/packages/core/buckthorn_core/silences.py
+++ b/packages/core/buckthorn_core/silences.py
@@ -49,9 +49,13 @@
         """Notes that no connection could be made."""
         self._rest(now_s)
 
+    def is_resting(self, now_s: float) -> bool:
+        """Returns whether nothing is let through now."""
+        return now_s < self._closed_until_s
+
     def is_closed(self, mean_run_s: float, now_s: float) -> bool:
         """Returns whether new requests are to be kept away."""
-        if now_s < self._closed_until_s:
+        if self.is_resting(now_s):
             return True
         if not self._is_silent(mean_run_s, now_s):
             return False
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -91,7 +91,11 @@
 
     def load(self) -> placements.Load:
         """Returns the upstream's load."""
-        closed = self._stopping or not self.lifetimes.takes_work
+        closed = (
+            self._stopping
+            or not self.lifetimes.takes_work
+            or self._silence.is_resting(asyncio.get_running_loop().time())
+        )
         return placements.Load(
             0 if closed else self.queue.slots,
             self.queue.running,
--- a/tests/core/test_placements.py
+++ b/tests/core/test_placements.py
@@ -74,6 +74,17 @@
     assert choose(gone, FAR).to.daemon == "d-8"
 
 
+def test_a_region_whose_instances_are_closed_uses_the_other():
+    """Guards against a hop to a gone instance before each crossing.
+
+    The pattern: the only instances of a region left for good, while their
+    daemons live on and report no slots.
+    """
+    gone = {m.daemon: load(0, slots=0) for m in NEAR}
+    found = placed(*NEAR, *FAR, loads=gone)
+    assert choose(found, NEAR + FAR).to.daemon == "d-8"
+
+
 def test_one_that_refused_or_failed_rests():
     """Guards against a second try at the daemon that just refused."""
     found = placed(*NEAR, loads={m.daemon: load(1) for m in NEAR})
--- a/tests/core/test_silences.py
+++ b/tests/core/test_silences.py
@@ -45,6 +45,7 @@
     """Guards against a connection tried for each request."""
     silence = silences.Silence()
     silence.unreachable(0.0)
+    assert silence.is_resting(0.1)
     assert silence.is_closed(0.05, 0.1)
     assert not silence.is_closed(0.05, silences.FIRST_PAUSE_S + 0.01)
     silence.unreachable(0.4)
