--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -434,6 +434,32 @@
         standins.wait_for(lambda d=killed: d.readiness() == 200)
 
 
+def test_a_daemon_starts_when_all_before_it_are_gone(new_host, instance, store):
+    """Guards against a start that tries one lost host after the other."""
+    with socket.socket() as silent:
+        # Takes connections and never says anything.
+        silent.bind(("127.0.0.1", 0))
+        silent.listen(64)
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        for n in range(60):
+            record = {
+                "daemon": f"lost-{n}",
+                "address": address,
+                "service": "stock",
+                "site": "z1",
+                "region": "r1",
+                "slots": 4,
+                "link_mbps": 1000.0,
+            }
+            store.put(
+                "keyed.buckthorn-members",
+                f"lost-{n}",
+                json.dumps(record).encode(),
+            )
+        host = new_host("h-1", instance)
+        standins.wait_for(lambda: host.readiness() == 200, 4.0)
+
+
 def test_a_dead_daemon_does_not_hold_up_callers(pair, store):
     """Guards against requests that wait for a host that is gone."""
     host, other, _, record = pair
