Add a fault soak of real daemons with a loopback proxy

Three hosts, five callers, random kills, planned stops, freezes, resets, silent and slow links, outages of the store, new configurations and drained lifetimes, in series; checked from what callers and instances saw.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,9 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,core adapters daemon client standins sidecar,$(CURDIR)/packages/$(p)) $(CURDIR)/platform)
 
-.PHONY: demo experiment test lint format docs matrix clean
+SEEDS ?=
+
+.PHONY: demo experiment soak test lint format docs matrix clean
 
 demo: $(VENV)/installed
 	$(VENV)/bin/python -m buckthorn_standins.demo --deployment=$(DEPLOYMENT)
@@ -19,6 +21,9 @@
 test: $(VENV)/installed
 	$(VENV)/bin/python -m pytest
 
+soak: $(VENV)/installed
+	SOAK_SEEDS="$(SEEDS)" $(VENV)/bin/python -m pytest tests/soak
+
 lint: $(VENV)/installed
 	$(VENV)/bin/ruff format --check packages platform tests tools
 	$(VENV)/bin/ruff check packages platform tests tools
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -108,12 +108,14 @@
     Attributes:
         down: Whether calls are answered 503.
         calls: Count of calls by path.
+        on_append: May change the value of a record that a daemon appends.
     """
 
     def __init__(self, port=0):
         super().__init__(port)
         self.down = False
         self.first = collections.Counter()
+        self.on_append = lambda key, value: value
         self.calls = collections.Counter()
         self._topics = collections.defaultdict(list)
         self._changed = threading.Condition()
@@ -151,9 +153,9 @@
             length = int.from_bytes(body[at : at + 4], "big")
             content = body[at + 4 : at + 4 + length]
             split = 1 + content[0]
-            self.put(
-                fields["topic"], content[1:split].decode(), content[split:]
-            )
+            key = content[1:split].decode()
+            value = self.on_append(key, content[split:])
+            self.put(fields["topic"], key, value)
             at += 4 + length
         answer = {"offset": offset, "end": len(self._topics[fields["topic"]])}
         call.reply(200, json.dumps(answer).encode())
@@ -239,6 +241,7 @@
             "method": call.command,
             "path": call.path,
             "body": body,
+            "at_s": time.monotonic(),
             "headers": {k.lower(): v for k, v in call.headers.items()},
         }
         self.runs.append(run)
--- /dev/null
+++ b/tests/soak/meshes.py
@@ -0,0 +1,277 @@
+"""A small mesh of real daemons with callers, faults and checks."""
+
+import http.client
+import itertools
+import json
+import random
+import signal
+import threading
+import time
+
+from tests.platform import standins
+from tests.soak import proxies
+
+CALLERS = 5
+FAULTS_S = 8.0
+RECOVERY_S = 15.0
+DRAIN_S = 2.5
+NOT_RUN = (408, 421, 429, 503)
+KINDS = {
+    "browse": ("/browse/1", "GET"),
+    "book": ("/book/1", "POST"),
+    "once": ("/once/1", "PUT"),
+}
+ORDERS = standins.path_entry("once", "/once/", "orders", kind="non_idempotent")
+EXTRA = standins.path_entry("extra", "/extra/")
+
+
+class Mesh:
+    """Three hosts; links between daemons run through proxies.
+
+    Attributes:
+        replies: By request id: its kind and the reply, or None if there was
+            none.
+        drained: Acknowledged ends of lifetimes: instance, its id, the time.
+    """
+
+    def __init__(self, folder, seed):
+        self.rng = random.Random(seed)
+        self.store = standins.Store().start()
+        self.store.on_append = self._through_proxy
+        self.instances = [
+            standins.Instance(service, instance=f"i-{n}", born_ms=1_000 + n)
+            for n, service in enumerate(("stock", "stock", "orders"))
+        ]
+        self.hosts = []
+        self.proxies = {}
+        self.number = itertools.count(2)
+        self.replies = {}
+        self.drained = []
+        self._born_ms = itertools.count(10_000)
+        self._ids = itertools.count()
+        self._calm = threading.Event()
+        self._lock = threading.Lock()
+        self.publish()
+        for n, instance in enumerate(self.instances):
+            instance.start()
+            instance.behave = self._work(instance)
+            host = standins.Host(folder, f"h-{n}", self.store, instance)
+            proxy = proxies.Proxy(host.ports["inbound"]).start()
+            self.proxies[host.name] = proxy
+            self.hosts.append(host)
+
+    def _through_proxy(self, key, value):
+        if not value or key not in self.proxies:
+            return value
+        record = json.loads(value)
+        record["address"] = self.proxies[key].address
+        return json.dumps(record).encode()
+
+    def _work(self, instance):
+        def behave(call, run):
+            time.sleep(0.02 + 0.06 * random.random())
+            instance.answer(call, run)
+
+        return behave
+
+    def publish(self, extra=False):
+        paths = [standins.BROWSE, standins.BOOK, ORDERS]
+        if extra:
+            paths.append(EXTRA)
+        record = standins.configuration(next(self.number), *paths)
+        self.store.put("keyed.op", "config", record)
+
+    def close(self):
+        self._calm.set()
+        for host in self.hosts:
+            host.close()
+        for thing in (*self.proxies.values(), *self.instances, self.store):
+            thing.close()
+
+    def run(self):
+        """Runs callers and faults, and returns what was broken."""
+        for host in self.hosts:
+            host.start()
+        threads = [
+            threading.Thread(target=self._call, daemon=True)
+            for _ in range(CALLERS)
+        ]
+        threads.append(threading.Thread(target=self._beat, daemon=True))
+        for thread in threads:
+            thread.start()
+        self._await_service()
+        end_s = time.monotonic() + FAULTS_S
+        while time.monotonic() < end_s:
+            self.rng.choice(FAULTS)(self)
+            time.sleep(self.rng.uniform(0.1, 0.8))
+        self._heal()
+        self.publish(extra=True)
+        broken = self._await_service()
+        self._calm.set()
+        for thread in threads:
+            thread.join(standins.WAIT_S)
+        return broken + self._broken_promises()
+
+    def _heal(self):
+        self.store.down = False
+        for proxy in self.proxies.values():
+            proxy.mode = proxies.Mode.PASS
+        for host in self.hosts:
+            if host.running():
+                host.signal(signal.SIGCONT)
+            else:
+                host.start()
+
+    def _beat(self):
+        while not self._calm.wait(0.4):
+            for host, instance in zip(self.hosts, self.instances, strict=True):
+                with self._lock:
+                    self._say(host, instance, "ready")
+
+    def _say(self, host, instance, state):
+        try:
+            return instance.beat(host.ports["control"], state)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def _call(self):
+        while not self._calm.is_set():
+            kind = random.choice(list(KINDS))
+            path, method = KINDS[kind]
+            request_id = f"q-{next(self._ids)}"
+            host = random.choice(self.hosts)
+            body = b"x" if method != "GET" else None
+            try:
+                reply = host.call(request_id, path, method, body, 1500)
+            except (OSError, http.client.HTTPException):
+                reply = None
+                time.sleep(0.05)
+            self.replies[request_id] = (kind, reply)
+
+    def _await_service(self):
+        """Waits until every host serves everything."""
+        end_s = time.monotonic() + RECOVERY_S
+        missing = ["not asked"]
+        while missing and time.monotonic() < end_s:
+            missing = [
+                f"{host.name} does not serve {kind}"
+                for host in self.hosts
+                for kind in KINDS
+                if not self._is_served(host, kind)
+            ]
+        return missing
+
+    def _is_served(self, host, kind):
+        path, method = KINDS[kind]
+        body = b"x" if method != "GET" else None
+        try:
+            reply = host.call(f"p-{next(self._ids)}", path, method, body)
+        except (OSError, http.client.HTTPException):
+            return False
+        return reply.status == 200
+
+    def _broken_promises(self):
+        found = []
+        for request_id, (kind, reply) in self.replies.items():
+            runs = sum(i.ran(request_id) for i in self.instances)
+            status = reply.status if reply is not None else None
+            if kind != "browse" and runs > 1:
+                found.append(f"{request_id} ({kind}) ran {runs} times")
+            if kind != "browse" and status in NOT_RUN and runs:
+                found.append(f"{request_id} ({kind}) got {status} and ran")
+            if status == 200 and reply.body != f"done {request_id}".encode():
+                found.append(f"{request_id} got another answer")
+            if status == 404:
+                found.append(f"{request_id} ({kind}) got 404")
+        for instance, name, at_s in self.drained:
+            late = [
+                run["id"]
+                for run in instance.runs
+                if run["headers"].get("x-buckthornstack-target-instance")
+                == name
+                and run["at_s"] > at_s + DRAIN_S
+            ]
+            found.extend(
+                f"{run} reached {name} after its drain" for run in late
+            )
+        return found
+
+    def some_host(self):
+        return self.rng.choice(self.hosts)
+
+
+FAULTS = []
+
+
+def fault(function):
+    """Registers a fault."""
+    FAULTS.append(function)
+    return function
+
+
+@fault
+def kill(mesh):
+    host = mesh.some_host()
+    host.kill()
+    time.sleep(mesh.rng.uniform(0.0, 0.5))
+    host.start()
+
+
+@fault
+def stop_as_planned(mesh):
+    host = mesh.some_host()
+    host.signal(signal.SIGCONT)
+    host.stop()
+    host.start()
+
+
+@fault
+def freeze(mesh):
+    host = mesh.some_host()
+    host.signal(signal.SIGSTOP)
+    time.sleep(mesh.rng.uniform(0.2, 2.5))
+    host.signal(signal.SIGCONT)
+
+
+@fault
+def reset_links(mesh):
+    mesh.proxies[mesh.some_host().name].reset()
+
+
+@fault
+def silence_links(mesh):
+    proxy = mesh.proxies[mesh.some_host().name]
+    proxy.mode = proxies.Mode.SILENT
+    time.sleep(mesh.rng.uniform(0.3, 1.5))
+    proxy.mode = proxies.Mode.PASS
+
+
+@fault
+def delay_links(mesh):
+    mesh.proxies[mesh.some_host().name].mode = proxies.Mode.DELAY
+
+
+@fault
+def take_store_down(mesh):
+    mesh.store.down = True
+    time.sleep(mesh.rng.uniform(0.2, 1.5))
+    mesh.store.down = False
+
+
+@fault
+def change_configuration(mesh):
+    mesh.publish(extra=mesh.rng.random() < 0.5)
+
+
+@fault
+def replace_lifetime(mesh):
+    """Drains a lifetime, and starts the next one of the same instance."""
+    number = mesh.rng.randrange(len(mesh.instances))
+    host, instance = mesh.hosts[number], mesh.instances[number]
+    with mesh._lock:
+        if mesh._say(host, instance, "draining") != 200:
+            return
+        mesh.drained.append((instance, instance.instance, time.monotonic()))
+        instance.born_ms = next(mesh._born_ms)
+        instance.instance = f"i-{instance.born_ms}"
+        instance.sequence = 0
