--- a/tests/soak/meshes.py
+++ b/tests/soak/meshes.py
@@ -12,7 +12,7 @@
 from tests.soak import proxies
 
 CALLERS = 5
-FAULTS_S = 8.0
+EXTRA_FAULTS = 4
 RECOVERY_S = 15.0
 DRAIN_S = 2.5
 NOT_RUN = (408, 421, 429, 503)
@@ -47,6 +47,8 @@
         self.number = itertools.count(2)
         self.replies = {}
         self.drained = []
+        # Lifetimes that drain, with the time at which the next one starts.
+        self._draining = {}
         self._born_ms = itertools.count(10_000)
         self._ids = itertools.count()
         self._calm = threading.Event()
@@ -100,9 +102,8 @@
         for thread in threads:
             thread.start()
         self._await_service()
-        end_s = time.monotonic() + FAULTS_S
-        while time.monotonic() < end_s:
-            self.rng.choice(FAULTS)(self)
+        for inject in self._plan():
+            inject(self)
             time.sleep(self.rng.uniform(0.1, 0.8))
         self._heal()
         self.publish(extra=True)
@@ -112,7 +113,14 @@
             thread.join(standins.WAIT_S)
         return broken + self._broken_promises()
 
+    def _plan(self):
+        """Returns each fault once and some twice, in random order."""
+        plan = [*FAULTS, *self.rng.choices(FAULTS, k=EXTRA_FAULTS)]
+        self.rng.shuffle(plan)
+        return plan
+
     def _heal(self):
+        standins.wait_for(lambda: not self._draining)
         self.store.down = False
         for proxy in self.proxies.values():
             proxy.mode = proxies.Mode.PASS
@@ -126,7 +134,20 @@
         while not self._calm.wait(0.4):
             for host, instance in zip(self.hosts, self.instances, strict=True):
                 with self._lock:
-                    self._say(host, instance, "ready")
+                    self._beat_one(host, instance)
+
+    def _beat_one(self, host, instance):
+        until_s = self._draining.get(instance.service + instance.address)
+        if until_s is None:
+            self._say(host, instance, "ready")
+        elif time.monotonic() < until_s:
+            self._say(host, instance, "draining")
+        else:
+            del self._draining[instance.service + instance.address]
+            instance.born_ms = next(self._born_ms)
+            instance.instance = f"i-{instance.born_ms}"
+            instance.sequence = 0
+            self._say(host, instance, "ready")
 
     def _say(self, host, instance, state):
         try:
@@ -269,9 +290,11 @@
     number = mesh.rng.randrange(len(mesh.instances))
     host, instance = mesh.hosts[number], mesh.instances[number]
     with mesh._lock:
+        key = instance.service + instance.address
+        if key in mesh._draining:
+            return
         if mesh._say(host, instance, "draining") != 200:
             return
-        mesh.drained.append((instance, instance.instance, time.monotonic()))
-        instance.born_ms = next(mesh._born_ms)
-        instance.instance = f"i-{instance.born_ms}"
-        instance.sequence = 0
+        now_s = time.monotonic()
+        mesh.drained.append((instance, instance.instance, now_s))
+        mesh._draining[key] = now_s + DRAIN_S + 1.0
