--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import socketserver
@@ -28,12 +29,20 @@
 ]
 PREFIX = "X-Buckthornstack-"
 WAIT_S = 10.0
+# Below the range from which the system takes ports of outgoing connections.
+PORTS = (15_000, 30_000)
 
 
 def free_port():
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port that no outgoing connection takes before its use."""
+    while True:
+        port = random.randrange(*PORTS)
+        with contextlib.closing(socket.socket()) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def wait_for(condition, timeout_s=WAIT_S):
