Name the retry time of plain refusals, and check what a cut answer says

The value 0.1 s stood four times without a name; a future was made before a refusal that did not need it. The test of answers cut short had a parameter that it did not check. Behaviour is unchanged.

--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -33,6 +33,9 @@
 OUTCOME_S = 6.0
 MAX_OUTCOMES = 8_192
 HEALTH_TIMEOUT_S = 0.3
+# When a caller may try again after a refusal that says nothing of the load, in
+# seconds: another daemon can serve it by then.
+REFUSED_RETRY_S = 0.1
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -297,10 +300,14 @@
         """
         reason = self._closed_reason()
         if reason is not None:
-            raise errors.RequestError(errors.Code.DRAINING, reason, 0.1)
+            raise errors.RequestError(
+                errors.Code.DRAINING, reason, REFUSED_RETRY_S
+            )
         if req.service != self._cfg.service:
             raise errors.RequestError(
-                errors.Code.NO_UPSTREAM, f"{self._cfg.service} runs here", 0.1
+                errors.Code.NO_UPSTREAM,
+                f"{self._cfg.service} runs here",
+                REFUSED_RETRY_S,
             )
         now_s = asyncio.get_running_loop().time()
         work = slot_queues.Work(
@@ -316,13 +323,13 @@
             self._refuse(other, errors.Code.SLOTS_FULL)
         if self.queue.is_running(ticket):
             return ticket
-        fut = asyncio.get_running_loop().create_future()
         if ticket in pushed_out:
             raise errors.RequestError(
                 errors.Code.SLOTS_FULL,
                 "work that goes first leaves no time",
                 self.queue.retry_after_s(),
             )
+        fut = asyncio.get_running_loop().create_future()
         self._started[ticket.number] = fut
         admitted = False
         try:
@@ -331,7 +338,9 @@
             admitted = True
         except TimeoutError as exc:
             raise errors.RequestError(
-                errors.Code.SLOTS_FULL, "no slot was free in time", 0.1
+                errors.Code.SLOTS_FULL,
+                "no slot was free in time",
+                REFUSED_RETRY_S,
             ) from exc
         finally:
             self._started.pop(ticket.number, None)
@@ -406,7 +415,7 @@
             raise errors.RequestError(
                 errors.Code.DRAINING,
                 f"the upstream is {self.lifetimes.state.value}",
-                0.1,
+                REFUSED_RETRY_S,
             )
         return current.instance
 
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -158,9 +158,9 @@
 )
 def test_answers_cut_short_are_errors(served, started):
     """Guards against part of an answer that looks complete."""
-    with pytest.raises(http1.AnswerCutError):
+    with pytest.raises(http1.AnswerCutError) as caught:
         asyncio.run(_exchange(served))
-    del started
+    assert caught.value.started is started
 
 
 def test_a_connection_with_bytes_behind_its_answer_is_not_clean():
