Count cut runs as a lower bound of an upstream's run time

Change: a run that is given up, or that the upstream ends with 504, raises the averages to at least its length; other failures are left out.

--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -101,6 +101,11 @@
         weight = max(SMOOTHING, 1 / self._count)
         self.value += weight * (value - self.value)
 
+    def add_at_least(self, value: float) -> None:
+        """Adds a run that was cut; only its least length is known."""
+        if value > self.value:
+            self.add(value)
+
 
 class _Rate:
     """Arrivals a second, averaged with exponential decay."""
@@ -191,20 +196,35 @@
         """Returns whether a request has its slot."""
         return ticket.number in self._running
 
-    def leave(self, ticket: Ticket, ran_s: float | None = None) -> None:
+    def leave(
+        self, ticket: Ticket, ran_s: float | None = None, cut: bool = False
+    ) -> None:
         """Frees the place of a request.
 
         Args:
             ticket: The request's ticket.
-            ran_s: How long the upstream took, in seconds; None if it did not
-                run to an end.
+            ran_s: How long the upstream took, in seconds; None if the request
+                did not reach it, or failed early.
+            cut: Whether the run was given up. It would have taken longer:
+                without it, an upstream too slow to answer in time would seem
+                as fast as before it slowed down.
         """
         self._running.discard(ticket.number)
         self._waiting = [t for t in self._waiting if t.number != ticket.number]
-        if ran_s is not None:
-            route = ticket.work.route
-            self._run_s.setdefault(route, _Average(ran_s)).add(ran_s)
-            self._mean.add(ran_s)
+        if ran_s is None:
+            return
+        averages = [
+            self._run_s.setdefault(ticket.work.route, self._new_run(ticket)),
+            self._mean,
+        ]
+        for average in averages:
+            if cut:
+                average.add_at_least(ran_s)
+            else:
+                average.add(ran_s)
+
+    def _new_run(self, ticket: Ticket) -> _Average:
+        return _Average(INITIAL_RUN_SHARE * ticket.work.target_s)
 
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Forgets the run times of routes that are gone."""
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -38,6 +38,7 @@
 REFUSED_RETRY_S = 0.1
 # Callers take these as a promise that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_GATEWAY_TIMEOUT = 504
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -238,7 +239,8 @@
         loop = asyncio.get_running_loop()
         finish_by_s = loop.time() + req.left_s
         ticket = None
-        ran_s = None
+        heard = failed = False
+        cut = True
         started_s = loop.time()
         try:
             ticket = await self._admit(req, finish_by_s)
@@ -252,7 +254,11 @@
                 exchange = await self._pool.exchange(
                     conn, req.method, data, req.request_id
                 )
-            ran_s = loop.time() - started_s
+            heard = True
+            status = exchange.answer.status
+            # The upstream gave up the run itself.
+            cut = status == _GATEWAY_TIMEOUT
+            failed = status >= 400 and not cut
             return self._result(req, exchange)
         except TimeoutError:
             return self._failure(
@@ -263,6 +269,7 @@
                 arrived,
             )
         except errors.RequestError as exc:
+            failed = True
             if arrived:
                 _logger.info(
                     "upstream_failed",
@@ -275,9 +282,12 @@
             return self._failure(req.attempt, exc, arrived)
         finally:
             self._committed.discard(req.attempt)
-            self._silence.ended(req.attempt, ran_s is not None, loop.time())
+            self._silence.ended(req.attempt, heard, loop.time())
             if ticket is not None:
-                self.queue.leave(ticket, ran_s)
+                # How fast an upstream fails says nothing of how long it runs.
+                ran = arrived and not failed
+                ran_s = loop.time() - started_s if ran else None
+                self.queue.leave(ticket, ran_s, cut)
                 self._start_waiting()
 
     def _closed_reason(self) -> str | None:
--- a/tests/core/test_slot_queues.py
+++ b/tests/core/test_slot_queues.py
@@ -145,6 +145,29 @@
     assert queue.start_waiting(0.0) == ([], [])
 
 
+def test_runs_that_are_cut_show_that_an_upstream_has_slowed():
+    """Guards against work for a slow upstream that its callers give up."""
+    queue = slot_queues.SlotQueue(6)
+    warm(queue, 0.2)
+    for n in range(20):
+        now_s = float(n)
+        ticket, _ = queue.enter(now_s, work(now_s=now_s))
+        queue.leave(ticket, 1.2, cut=True)
+    assert queue.mean_run_s > 0.9
+    assert queue.run_s(work()) > 0.9
+
+
+def test_callers_that_leave_early_do_not_make_an_upstream_seem_fast():
+    """Guards against an overload by callers that give up soon."""
+    queue = slot_queues.SlotQueue(6)
+    warm(queue, 0.2)
+    for n in range(20):
+        now_s = float(n)
+        ticket, _ = queue.enter(now_s, work(now_s=now_s))
+        queue.leave(ticket, 0.05, cut=True)
+    assert queue.mean_run_s == pytest.approx(0.2, rel=0.01)
+
+
 class Replay:
     """A queue with an upstream behind it, on simulated time.
 
