Serve those who can still be in time first, and keep calls of runs waiting

Change: the time that a caller states tells how long it has waited, once somebody has been refused on that route (caller_ages). Routes on which requests start beside one service only, while others start beside several, carry calls (call_routes); their requests may wait until a share of their time limit.

--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -9,6 +9,7 @@
 
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
+from buckthorn_core import caller_ages
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -76,6 +77,7 @@
         route: Its route in the version that it started with.
         service: The service that runs it.
         finish_by_s: When it gets its final answer at the latest.
+        target_at_s: Until then an answer has its full value.
         version: The configuration version that it started with.
         arrivals: Upstreams that it has reached.
         region_full: Whether a full upstream of this region refused it.
@@ -89,6 +91,7 @@
         route: virtual_hosts.HostRoute,
         service: ids.ServiceName,
         now_s: float,
+        age_s: float,
     ):
         self.req = req
         self.says = says
@@ -99,7 +102,7 @@
         if says.left_s is not None:
             left_s = min(left_s, says.left_s)
         self.finish_by_s = now_s + left_s
-        self.target_at_s = now_s + route.target_s
+        self.target_at_s = now_s + route.target_s - age_s
         self.caller_until_s = now_s + (says.left_s or route.timeout_s)
         self.version = 0
         self.arrivals = 0
@@ -132,6 +135,7 @@
         )
         self.links = links.Links(self._on_report)
         self._dealer = virtual_hosts.PartDealer()
+        self._ages = caller_ages.CallerAges()
         self._shares = retry_shares.RetryShares(
             cfg.retry_ratio, cfg.retry_constant, cfg.retry_window_s
         )
@@ -149,6 +153,7 @@
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Forgets routes that are gone."""
         self._dealer.keep_only(routes)
+        self._ages.keep_only(routes)
 
     def _on_report(
         self,
@@ -189,7 +194,11 @@
                 errors.Code.NO_ROUTE, f"{says.host}{req.target}"
             )
         service = self._dealer.deal(route)
-        call = Call(req, says, route, service, loop.time())
+        now_s = loop.time()
+        age_s = 0.0
+        if says.left_s is not None:
+            age_s = self._ages.age_s(route.name, says.left_s, now_s)
+        call = Call(req, says, route, service, now_s, age_s)
         call.version = self._holder.number
         self._shares.add_request(service, loop.time())
         outcome = "caller_gone"
@@ -199,6 +208,7 @@
             return answer
         except errors.RequestError as exc:
             outcome = exc.code.value
+            self._ages.refused(route.name, loop.time())
             raise
         finally:
             self._note_end(call, outcome, loop.time())
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -14,6 +14,7 @@
 
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
+from buckthorn_core import call_routes
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
@@ -72,6 +73,7 @@
         # Tries of requests that run and must not run a second time.
         self._committed: set[str] = set()
         self._silence = silences.Silence()
+        self._call_routes = call_routes.CallRoutes()
         self._stopping = False
         self.version = 0
         self.boot = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
@@ -93,6 +95,11 @@
             task.cancel()
         self._pool.close()
 
+    def keep_only(self, routes: set[ids.RouteName]) -> None:
+        """Forgets what is known of routes that are gone."""
+        self.queue.keep_only(routes)
+        self._call_routes.keep_only(routes)
+
     def load(self) -> placements.Load:
         """Returns the upstream's load."""
         closed = (
@@ -320,11 +327,15 @@
                 REFUSED_RETRY_S,
             )
         now_s = asyncio.get_running_loop().time()
+        self._call_routes.add(req.route, req.caller_service)
+        target_at_s = now_s + req.target_left_s
+        if self._call_routes.is_call(req.route):
+            target_at_s = finish_by_s
         work = slot_queues.Work(
             req.route,
             req.priority,
             now_s + req.caller_left_s,
-            now_s + req.target_left_s,
+            target_at_s,
             finish_by_s,
             req.target_s,
         )
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -272,7 +272,7 @@
         self.callers.limits = version.limits
         self.ingress.version = version.number
         names = {route.name for route in version.routes}
-        self.ingress.queue.keep_only(names)
+        self.ingress.keep_only(names)
         self._egress.keep_only(names)
 
 
