Let one daemon read the log when a region loses its feed

The first daemon of a region was stopped; the eight that it fed began to follow the log themselves, then all 43.

Change: a daemon whose feed is lost turns to the next one, which reads the log as the first of those left. Only if that brings no word within 0.4 s does it read the log itself, once and without a long read. A first daemon that the log does not answer is fed by another one. A change of place in the tree no longer causes reads. While the log is away, daemons that are fed pause 0.8 to 2 s between tries instead of 0.1 to 0.8 s. Daemons that see different members can feed each other in a circle; they now read the members too. At the first start of all, a daemon that is not listed yet waits up to 2 s to be fed.

The tests replay a region of 43 that loses its first daemon: the log is read by nine at most, and nobody's word is older than 2.5 s. The check of the feed no longer ends with an unexpected exception.

--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -6,10 +6,13 @@
 and a daemon that joins moves few others.
 
 A feed is trusted while the log's own word behind it is fresh. A daemon whose
-feed is stale, dead or behind reads the log itself at once.
+feed is stale, dead or behind turns to another one, and soon after reads the
+log itself, once: if a whole region followed the log, each version would cross
+the link between regions many times, and all would become stale.
 """
 
 from collections.abc import Mapping
+import enum
 import math
 from typing import NamedTuple
 
@@ -27,6 +30,13 @@
 # slow, those it feeds directly read the log, and feed the others. All reading
 # at once would fill the link between regions.
 DEEP_STALE_S = 2.2
+# A daemon that starts waits this long to be fed with the configuration, in
+# seconds, before it reads the log.
+START_WAIT_S = 2.0
+# After its feed has become stale, a daemon waits this long for the word of the
+# next one before it reads the log, in seconds. Until then only the daemon that
+# is first now reads it.
+TAKEOVER_S = 0.4
 # A daemon whose feed has failed is not followed for this long, in seconds; the
 # time doubles with each failure, since hosts are lost for good.
 REST_S = 5.0
@@ -79,13 +89,46 @@
     return Place(order[parent_rank], depth)
 
 
+class Reading(enum.Enum):
+    """How a daemon reads a topic of the log itself.
+
+    Attributes:
+        NONE: Not at all; it is fed.
+        ONCE: Until the log has answered once, without waiting for news.
+        ALWAYS: With long reads.
+    """
+
+    NONE = "none"
+    ONCE = "once"
+    ALWAYS = "always"
+
+
+class Known(NamedTuple):
+    """What a daemon knows already.
+
+    Attributes:
+        members: Whether it has read the members.
+        configurations: Whether it has read or been fed the configuration.
+        listed: Whether it is among the members.
+        starts_s: When it started; steady time.
+    """
+
+    members: bool
+    configurations: bool
+    listed: bool
+    starts_s: float
+
+
 class FeedState:
     """Whether this daemon is fed, and how fresh the log's word is."""
 
     def __init__(self) -> None:
         self.parent: ids.DaemonId | None = None
         self._stale_s = STALE_S
-        self._confirmed_s = -math.inf
+        # The log's last word, however it came here.
+        self._word_s = -math.inf
+        # The last word of the parent, or when the last one was lost or chosen.
+        self._fed_s = -math.inf
         self._rests_until_s: dict[ids.DaemonId, float] = {}
         self._failures: dict[ids.DaemonId, int] = {}
 
@@ -105,29 +148,76 @@
             return False
         self.parent = place.parent
         # The new feed has the time of a stale one to say its first word.
-        self._confirmed_s = max(self._confirmed_s, now_s)
+        self._fed_s = now_s
         return True
 
-    def confirm(self, age_s: float, now_s: float) -> None:
-        """Notes the log's word of an age, from the feed or the log itself."""
+    def fed(self, age_s: float, now_s: float) -> None:
+        """Notes the log's word of an age, from the feed."""
         if self.parent is not None:
             self._failures.pop(self.parent, None)
-        self._confirmed_s = max(self._confirmed_s, now_s - age_s)
+        self._fed_s = max(self._fed_s, now_s - age_s)
+        self._word_s = max(self._word_s, now_s - age_s)
+
+    def read(self, as_of_s: float) -> None:
+        """Notes the log's own word, and when it was true."""
+        self._word_s = max(self._word_s, as_of_s)
+        if self.parent is None:
+            self._failures.clear()
 
     def age_s(self, now_s: float) -> float:
         """Returns the age of the log's last word, in seconds."""
-        return now_s - self._confirmed_s
+        return now_s - self._word_s
 
     def fail(self, now_s: float) -> None:
-        """Notes that the feed has ended; the log is read directly."""
-        parent = self.parent
-        if parent is not None:
-            failures = self._failures.get(parent, 0)
-            rest_s = min(MAX_REST_S, REST_S * 2.0**failures)
-            self._rests_until_s[parent] = now_s + rest_s
-            self._failures[parent] = failures + 1
+        """Notes that the feed has ended."""
+        if self.parent is not None:
+            self._rest(self.parent, now_s)
         self.parent = None
+        self._fed_s = now_s
+
+    def step_down(self, me: ids.DaemonId, now_s: float) -> bool:
+        """Lets another daemon read the log if it does not answer this one.
+
+        Returns:
+            Whether this daemon was the first and is not any more.
+        """
+        waits_since_s = max(self._word_s, self._fed_s)
+        if self.parent is not None or now_s - waits_since_s <= STALE_S:
+            return False
+        self._rest(me, now_s)
+        return True
+
+    def _rest(self, daemon: ids.DaemonId, now_s: float) -> None:
+        failures = self._failures.get(daemon, 0)
+        rest_s = min(MAX_REST_S, REST_S * 2.0**failures)
+        self._rests_until_s[daemon] = now_s + rest_s
+        self._failures[daemon] = failures + 1
+
+    def distrust(self) -> None:
+        """Notes that something is missing here, whatever the feed says."""
+        self._word_s = -math.inf
 
     def is_stale(self, now_s: float) -> bool:
         """Returns whether the feed is no longer trusted."""
-        return self.parent is not None and self.age_s(now_s) > self._stale_s
+        return self.parent is not None and now_s - self._fed_s > self._stale_s
+
+    def readings(self, now_s: float, known: Known) -> tuple[Reading, Reading]:
+        """Returns how the members and the configuration are to be read."""
+        first = self.parent is None
+        if known.configurations:
+            needed = self.needs_log(now_s)
+        else:
+            # At the first start of all, nobody knows yet who is first.
+            first = first and known.listed
+            needed = now_s - known.starts_s > START_WAIT_S
+        fed = Reading.ONCE if needed else Reading.NONE
+        configurations = Reading.ALWAYS if first else fed
+        if not known.members or self.parent is None:
+            return Reading.ALWAYS, configurations
+        # Daemons with different members can feed each other in a circle, and
+        # would never learn of the other members.
+        return fed, configurations
+
+    def needs_log(self, now_s: float) -> bool:
+        """Returns whether the log is to be read here, beside the feed."""
+        return self.age_s(now_s) > self._stale_s + TAKEOVER_S
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -19,9 +19,6 @@
 
 # How often the feed is looked at, in seconds.
 CHECK_S = 0.2
-# A daemon that starts waits this long for the members, in seconds, before it
-# reads the configuration without them.
-START_WAIT_S = 2.0
 # A daemon that misses a version for this long that another one has looks for
 # another feed, or reads all anew, in seconds. Feeds in two regions differ by
 # up to a second.
@@ -86,10 +83,9 @@
     def start(self) -> None:
         """Starts to look after the feed.
 
-        The configuration is read once the members are known, or after a
-        while: most daemons get it from another one.
+        Most daemons get the configuration from another one.
         """
-        self._configurations.read_directly(False)
+        self._configurations.set_reading(feed_trees.Reading.NONE)
         self._starts_s = asyncio.get_running_loop().time()
         self._task = asyncio.create_task(self._run())
 
@@ -103,41 +99,50 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_S)
-            self._check(loop.time())
+            try:
+                self._check(loop.time())
+            except Exception:
+                # Without this loop a lost feed would never be replaced.
+                _logger.exception("feed_failed")
 
     def _check(self, now_s: float) -> None:
         state = self._state
-        self._check_start(now_s)
         if state.is_stale(now_s):
             self._fail("stale", now_s)
         self._check_behind(now_s)
+        known = self._configurations.synced.is_set()
+        if known and state.step_down(self._cfg.daemon, now_s):
+            _logger.warning("log_left_to_others")
         old = state.parent
         if state.follow(self._place(now_s), now_s):
             self._switch(old)
+        self._set_reading(now_s)
+
+    def _set_reading(self, now_s: float) -> None:
+        """Decides which topics are read from the log itself."""
+        members, configurations = self._state.readings(
+            now_s,
+            feed_trees.Known(
+                self._members.synced.is_set(),
+                self._configurations.synced.is_set(),
+                self._directory.get(self._cfg.daemon) is not None,
+                self._starts_s,
+            ),
+        )
+        self._members.set_reading(members)
+        self._configurations.set_reading(configurations)
 
     def _on_log_confirmed(self) -> None:
-        if self._state.parent is None:
-            now_s = asyncio.get_running_loop().time()
-            age_s = now_s - self._configurations.confirmed_s
-            self._state.confirm(age_s, now_s)
-            self._confirm_children(now_s)
+        now_s = asyncio.get_running_loop().time()
+        self._state.read(self._configurations.confirmed_s)
+        self._confirm_children(now_s)
+        self._set_reading(now_s)
 
     def _confirm_children(self, now_s: float) -> None:
         frame = frames.Confirm(round(self._state.age_s(now_s), 3))
         for conn in self._children:
             conn.send(frame)
 
-    def _check_start(self, now_s: float) -> None:
-        if self._configurations.synced.is_set():
-            return
-        waited_s = now_s - self._starts_s
-        if self._members.synced.is_set():
-            direct = self._state.parent is None and waited_s > CHECK_S
-        else:
-            direct = waited_s > START_WAIT_S
-        if direct:
-            self._configurations.read_directly(True)
-
     def _check_behind(self, now_s: float) -> None:
         """Looks for another way if a version is missed that others have."""
         heard_of = self._heard_of()
@@ -148,6 +153,7 @@
         elif now_s - self._missing[1] >= BEHIND_S:
             self._missing = None
             _logger.warning("log_read_again", version=heard_of)
+            self._state.distrust()
             if self._state.parent is not None:
                 self._fail("behind", now_s)
             else:
@@ -183,10 +189,6 @@
             link = self._links.to(left)
             link.unsubscribe()
             link.close_if_quiet(asyncio.get_running_loop().time())
-        # Until the new feed has said its first word.
-        for follower in self._followers.values():
-            if follower.synced.is_set():
-                follower.read_directly(True)
         parent = self._state.parent
         if parent is None:
             return
@@ -211,11 +213,9 @@
             return
         now_s = asyncio.get_running_loop().time()
         if isinstance(frame, frames.Confirm):
-            self._state.confirm(frame.age_s, now_s)
-            for fed in self._followers.values():
-                if fed.synced.is_set():
-                    fed.read_directly(False)
+            self._state.fed(frame.age_s, now_s)
             self._confirm_children(now_s)
+            self._set_reading(now_s)
             return
         follower = self._followers.get(frame.topic)
         if follower is None:
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -11,6 +11,7 @@
 from buckthorn_adapters import metrics
 from buckthorn_core import directories
 from buckthorn_core import errors
+from buckthorn_core import feed_trees
 from buckthorn_core import ids
 from buckthorn_core import topic_tables
 from buckthorn_core import virtual_hosts
@@ -25,6 +26,11 @@
 # maximum stays well below the time in which a version must be in force.
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.8
+# The same for daemons that others feed: when the log is away for all, those
+# that follow it for a region try often enough. No version has to be in force
+# until the log has been back for 3 s.
+FED_MIN_PAUSE_S = 0.8
+FED_MAX_PAUSE_S = 2.0
 # Records that come within this time are read with one call, in seconds.
 GATHER_S = 0.5
 
@@ -73,8 +79,9 @@
         self._rng = random.Random()
         self._lost = False
         self._anew = True
-        self._direct = asyncio.Event()
-        self._direct.set()
+        self._reading = feed_trees.Reading.ALWAYS
+        self._may_read = asyncio.Event()
+        self._may_read.set()
         self.table = topic_tables.TopicTable()
         self.synced = asyncio.Event()
         self.confirmed_s = -math.inf
@@ -92,14 +99,17 @@
         if self._task is not None:
             self._task.cancel()
 
-    def read_directly(self, direct: bool) -> None:
-        """Starts or stops reading the log itself."""
-        if direct:
-            self._direct.set()
-        else:
-            self._direct.clear()
+    def set_reading(self, reading: feed_trees.Reading) -> None:
+        """Changes how the log is read."""
+        if reading is self._reading:
+            return
+        self._reading = reading
+        if reading is feed_trees.Reading.NONE:
+            self._may_read.clear()
             if self._read is not None:
                 self._read.cancel()
+        else:
+            self._may_read.set()
 
     def read_again(self) -> None:
         """Reads all newest records again."""
@@ -135,15 +145,15 @@
         return True
 
     async def _follow(self) -> None:
-        pause_s = MIN_PAUSE_S
+        pause_s = 0.0
         while True:
-            await self._direct.wait()
+            await self._may_read.wait()
             try:
-                await self._step()
+                answered = await self._step()
             except errors.LogError as exc:
                 self._note_lost(exc)
+                pause_s = self._next_pause_s(pause_s)
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
-                pause_s = min(MAX_PAUSE_S, 2 * pause_s)
                 continue
             except Exception:
                 # A fault in one record must not end the following of all.
@@ -151,18 +161,26 @@
                 self._anew = True
                 await asyncio.sleep(MAX_PAUSE_S)
                 continue
-            pause_s = MIN_PAUSE_S
-            if self._lost:
+            pause_s = 0.0
+            if answered and self._reading is feed_trees.Reading.ONCE:
+                self.set_reading(feed_trees.Reading.NONE)
+            if self._lost and answered:
                 self._lost = False
                 _logger.info("log_regained", topic=self.topic)
 
-    async def _step(self) -> None:
+    def _next_pause_s(self, pause_s: float) -> float:
+        if self._reading is feed_trees.Reading.ONCE:
+            return min(FED_MAX_PAUSE_S, max(FED_MIN_PAUSE_S, 2 * pause_s))
+        return min(MAX_PAUSE_S, max(MIN_PAUSE_S, 2 * pause_s))
+
+    async def _step(self) -> bool:
+        """Reads once; returns whether the log has answered."""
         start = None if self._anew else self.table.next
         self._read = asyncio.create_task(self._fetch(start))
         try:
             await asyncio.wait((self._read,))
             if self._read.cancelled():
-                return
+                return False
             batch = self._read.result()
         finally:
             self._read.cancel()
@@ -170,7 +188,7 @@
         if batch is None:
             _logger.warning("log_gap", topic=self.topic, start=start)
             self._anew = True
-            return
+            return True
         if start is None:
             self._anew = False
         self.take(batch.records, start, batch.end)
@@ -178,11 +196,15 @@
         self.on_confirmed()
         if start is not None and batch.records:
             await asyncio.sleep(GATHER_S)
+        return True
 
     async def _fetch(self, start: ids.Offset | None) -> ports.Batch | None:
         if start is None:
             return await self._log.newest(self.topic)
-        return await self._log.read(self.topic, start, self._wait_s)
+        wait_s = (
+            0.0 if self._reading is feed_trees.Reading.ONCE else self._wait_s
+        )
+        return await self._log.read(self.topic, start, wait_s)
 
     def _note_lost(self, exc: errors.LogError) -> None:
         self._meter.count("buckthorn_log_failures", topic=self.topic)
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -60,11 +60,11 @@
     state = feed_trees.FeedState()
     assert state.follow(CHILD, 100.0)
     assert not state.is_stale(101.0)
-    state.confirm(0.5, 101.0)
+    state.fed(0.5, 101.0)
     assert not state.is_stale(101.0)
     assert state.is_stale(100.5 + feed_trees.STALE_S + 0.1)
     # The age that a feed states counts, not when its word arrived.
-    state.confirm(3.0, 110.0)
+    state.fed(3.0, 110.0)
     assert state.is_stale(110.0)
 
 
@@ -103,7 +103,7 @@
         now_s += 1.0
     assert tries <= 8
     state.follow(CHILD, now_s)
-    state.confirm(0.1, now_s)
+    state.fed(0.1, now_s)
     state.fail(now_s)
     assert state.resting(now_s + feed_trees.REST_S) == frozenset()
 
@@ -113,3 +113,179 @@
     state = feed_trees.FeedState()
     assert not state.follow(feed_trees.FIRST, 100.0)
     assert not state.is_stale(1_000.0)
+
+
+def test_a_daemon_reads_the_log_when_no_feed_has_its_word():
+    """Guards against a version that is missed while feeds are replaced."""
+    state = feed_trees.FeedState()
+    state.follow(CHILD, 100.0)
+    state.fed(0.0, 100.0)
+    state.fail(101.7)
+    state.follow(feed_trees.Place("d-2", 1), 101.7)
+    assert not state.needs_log(101.9)
+    assert state.needs_log(102.1)
+    state.read(102.1)
+    assert not state.needs_log(102.2)
+    # The log's word read here says nothing of the feed.
+    assert state.is_stale(103.4)
+
+
+class Region:
+    """Daemons of a region that feed each other, without sockets.
+
+    Attributes:
+        reads: Calls to the log by daemon.
+        oldest_s: The greatest age of the log's word at a living daemon.
+    """
+
+    TICK_S = 0.2
+    LONG_READ_S = 0.8
+
+    def __init__(self, count):
+        self.everyone = members(count)
+        self.states = {m: feed_trees.FeedState() for m in self.everyone}
+        self.dead = set()
+        self.log_answers = lambda member: True
+        self.reads = collections.Counter()
+        self.oldest_s = 0.0
+        self._read_s = dict.fromkeys(self.everyone, 0.0)
+        self.now_s = 0.0
+        for state in self.states.values():
+            state.fed(0.0, 0.0)
+
+    def run(self, seconds):
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += self.TICK_S
+            for member, state in self.states.items():
+                if member not in self.dead:
+                    self._check(member, state)
+            self._feed()
+            ages_s = [
+                s.age_s(self.now_s)
+                for m, s in self.states.items()
+                if m not in self.dead
+            ]
+            self.oldest_s = max(self.oldest_s, *ages_s)
+
+    def _check(self, member, state):
+        now_s = self.now_s
+        if state.is_stale(now_s):
+            state.fail(now_s)
+        state.step_down(member, now_s)
+        resting = state.resting(now_s)
+        place = feed_trees.place_of(
+            member,
+            {m: x for m, x in self.everyone.items() if m not in resting},
+        )
+        state.follow(place, now_s)
+        is_due = now_s - self._read_s[member] > self.LONG_READ_S - 0.01
+        if state.parent is None and is_due or state.needs_log(now_s):
+            self.reads[member] += 1
+            self._read_s[member] = now_s
+            if self.log_answers(member):
+                state.read(now_s)
+
+    def _feed(self):
+        for _ in range(3):
+            for state in self.states.values():
+                above = state.parent
+                if above is not None and above not in self.dead:
+                    age_s = self.states[above].age_s(self.now_s)
+                    if age_s < feed_trees.STALE_S:
+                        state.fed(age_s, self.now_s)
+
+
+def first_of(region):
+    return next(
+        m for m in region.everyone if parent_of(m, region.everyone) is None
+    )
+
+
+def test_a_region_that_loses_its_first_daemon_does_not_read_all_at_once():
+    """Guards against a region that fills its link with reads of the log.
+
+    The pattern: the daemon that reads the log for 43 others dies while
+    versions follow each other; had all read each version, it would have
+    crossed the link between regions 43 times.
+    """
+    region = Region(43)
+    region.run(5.0)
+    region.dead = {first_of(region)}
+    region.reads.clear()
+    region.oldest_s = 0.0
+    region.run(12.0)
+    assert region.oldest_s < 2.5
+    assert len(region.reads) <= 1 + feed_trees.FAN_OUT
+
+
+def test_a_first_daemon_that_the_log_turns_away_is_replaced():
+    """Guards against a region, or that daemon, without news meanwhile."""
+    region = Region(43)
+    region.run(5.0)
+    away = first_of(region)
+    region.log_answers = lambda member: member != away
+    region.reads.clear()
+    region.oldest_s = 0.0
+    region.run(12.0)
+    others = {m: n for m, n in region.reads.items() if m != away}
+    assert len(others) <= 1 + feed_trees.FAN_OUT
+    assert region.oldest_s < 2.5
+
+
+def test_calls_to_the_log_do_not_grow_with_a_region():
+    """Guards against a price that grows with the fleet."""
+    for count in (6, 43, 300):
+        region = Region(count)
+        region.run(8.0)
+        assert sum(region.reads.values()) <= 1 + 8.0 / Region.LONG_READ_S
+
+
+KNOWN = feed_trees.Known(True, True, True, 0.0)
+ALWAYS, ONCE, NONE = (
+    feed_trees.Reading.ALWAYS,
+    feed_trees.Reading.ONCE,
+    feed_trees.Reading.NONE,
+)
+
+
+def test_only_the_first_of_a_region_follows_the_log():
+    """Guards against calls to the log that grow with the fleet."""
+    state = feed_trees.FeedState()
+    state.read(100.0)
+    assert state.readings(100.1, KNOWN) == (ALWAYS, ALWAYS)
+    state.follow(CHILD, 100.1)
+    assert state.readings(100.2, KNOWN) == (NONE, NONE)
+
+
+def test_two_daemons_that_feed_each_other_read_the_members():
+    """Guards against members that stay unknown.
+
+    The pattern: two daemons start together and each takes the other for the
+    first. Words that one of them has read keep the feed of the other fresh.
+    """
+    states = [feed_trees.FeedState(), feed_trees.FeedState()]
+    for state in states:
+        state.follow(CHILD, 100.0)
+        state.read(100.0)
+    now_s, readings = 100.0, []
+    while now_s < 106.0:
+        now_s += 0.2
+        for state, other in (states, states[::-1]):
+            members, configurations = state.readings(now_s, KNOWN)
+            readings.append(members)
+            if configurations is ONCE:
+                state.read(now_s)
+            other.fed(state.age_s(now_s), now_s)
+    assert ONCE in readings
+
+
+def test_a_daemon_that_nobody_feeds_reads_the_configuration_itself():
+    """Guards against a start that waits for a feed for ever."""
+    state = feed_trees.FeedState()
+    known = feed_trees.Known(True, False, False, 100.0)
+    assert state.readings(100.5, known) == (ALWAYS, NONE)
+    assert state.readings(102.1, known) == (ALWAYS, ONCE)
+    # After a restart of all, the members are known and the first is listed.
+    listed = feed_trees.Known(True, False, True, 100.0)
+    assert state.readings(100.5, listed) == (ALWAYS, ALWAYS)
