--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -40,8 +40,12 @@
 # A daemon that refused gets no request for this long, in seconds, unless
 # there is no other.
 REFUSED_S = 0.1
-# A daemon that failed or could not be reached gets none for this long.
-FAILED_S = 1.0
+# A daemon that can't be reached gets no request until it has been heard of
+# again. It is asked for a report after this long, in seconds, and then ever
+# more rarely: hosts that are lost for good stay listed for a while, and each
+# request that is tried there waits for a connection.
+FIRST_PROBE_S = 0.25
+MAX_PROBE_S = 2.0
 # Share of requests an instance failed, from which it is avoided.
 FAILING_SHARE = 0.2
 FAILURE_SMOOTHING = 0.1
@@ -70,6 +74,9 @@
         "avoid_until_s",
         "failing",
         "load",
+        "probe_at_s",
+        "probe_pause_s",
+        "reachable",
         "reported_s",
         "sent_since",
     )
@@ -80,6 +87,9 @@
         self.sent_since = 0
         self.avoid_until_s = float("-inf")
         self.failing = 0.0
+        self.reachable = True
+        self.probe_at_s = float("-inf")
+        self.probe_pause_s = FIRST_PROBE_S
 
 
 class Origin(msgspec.Struct, frozen=True):
@@ -124,6 +134,8 @@
         seen.load = load
         seen.reported_s = now_s
         seen.sent_since = 0
+        seen.reachable = True
+        seen.probe_pause_s = FIRST_PROBE_S
 
     def sent(self, to: directories.Registration) -> None:
         """Notes a request sent since the last report."""
@@ -137,7 +149,9 @@
     def unreachable(self, to: directories.Registration, now_s: float) -> None:
         """Notes a daemon that can't be reached."""
         seen = self.seen(to)
-        seen.avoid_until_s = max(seen.avoid_until_s, now_s + FAILED_S)
+        if seen.reachable:
+            seen.reachable = False
+            seen.probe_at_s = now_s + seen.probe_pause_s
 
     def answered(self, to: directories.Registration, failed: bool) -> None:
         """Notes an upstream's own answer or refusal."""
@@ -169,25 +183,50 @@
         usable = [c for c in near if self._takes_work(c, now_s)]
         usable.extend(c for c in far if self._has_room(c, now_s))
         ask = [c for c in far if not self._is_fresh(c, now_s)]
+        probe = [c for c in near if self._is_probe_due(c, now_s)]
         if not usable and not region_full:
-            # Nothing is known to serve: try what is not known to be closed.
-            open_near = [c for c in near if not self._is_closed(c, now_s)]
-            usable = open_near or far or near
+            usable = self._last_resort(near, far, now_s)
         if not usable:
-            return Choice(None, ask)
+            return Choice(None, [*ask, *probe])
         scores = {
             c.daemon: self._score(c, now_s, target_s, left_to_target_s)
             for c in usable
         }
         best = min(usable, key=lambda c: scores[c.daemon])
         late = scores[best.daemon] >= LATE_PENALTY_S
-        return Choice(best, ask if late else ())
+        return Choice(best, [*ask, *probe] if late else probe)
+
+    def _last_resort(
+        self,
+        near: list[directories.Registration],
+        far: list[directories.Registration],
+        now_s: float,
+    ) -> list[directories.Registration]:
+        """Returns candidates when nothing is known to serve."""
+        open_near = [c for c in near if not self._is_closed(c, now_s)]
+        groups = (
+            [c for c in open_near if self.seen(c).reachable],
+            [c for c in far if self.seen(c).reachable],
+            open_near,
+            far,
+            near,
+        )
+        return next((group for group in groups if group), [])
+
+    def _is_probe_due(self, to: directories.Registration, now_s: float) -> bool:
+        seen = self.seen(to)
+        if seen.reachable or now_s < seen.probe_at_s:
+            return False
+        seen.probe_pause_s = min(MAX_PROBE_S, 2 * seen.probe_pause_s)
+        seen.probe_at_s = now_s + seen.probe_pause_s
+        return True
 
     def _is_fresh(self, to: directories.Registration, now_s: float) -> bool:
         return now_s - self.seen(to).reported_s <= REPORT_S
 
     def _takes_work(self, to: directories.Registration, now_s: float) -> bool:
-        rests = self.seen(to).avoid_until_s > now_s
+        seen = self.seen(to)
+        rests = seen.avoid_until_s > now_s or not seen.reachable
         return not rests and not self._is_closed(to, now_s)
 
     def _is_closed(self, to: directories.Registration, now_s: float) -> bool:
@@ -198,7 +237,8 @@
         load = seen.load
         busy = seen.sent_since + load.running + load.waiting
         return (
-            seen.avoid_until_s <= now_s
+            seen.reachable
+            and seen.avoid_until_s <= now_s
             and self._is_fresh(to, now_s)
             and busy < ROOM_SHARE * load.slots
         )
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -23,9 +23,12 @@
 INITIAL_RUN_S = 0.15
 # Run time of a route before a request of it has run, as a share of its target.
 INITIAL_RUN_SHARE = 0.35
-# Weight of the newest run time in the average. The first ones count more: an
-# upstream that has just started runs twice as long.
+# Weight of the newest run time in the average. The first ones count more.
 SMOOTHING = 0.1
+# An upstream that says it warms up runs this much longer, as both meshes state
+# it. Until its first runs have ended, requests that would be late would take
+# the slots of those that can still be in time.
+WARMUP_FACTOR = 2.0
 # Share of the time until a request must start that it may be expected to
 # wait. Run times vary by a third, so an expected wait up to the last moment
 # would make half of what waits that long late; and a caller that is refused
@@ -125,10 +128,16 @@
 
 
 class SlotQueue:
-    """Counts the slots of one upstream and orders what waits for them."""
+    """Counts the slots of one upstream and orders what waits for them.
+
+    Attributes:
+        slots: How many requests the upstream runs at the same time.
+        warming: Whether it says that it warms up.
+    """
 
     def __init__(self, slots: int = 0):
         self.slots = slots
+        self.warming = False
         self._running: set[int] = set()
         self._waiting: list[Ticket] = []
         self._numbers = 0
@@ -136,6 +145,17 @@
         self._mean = _Average(INITIAL_RUN_S)
         self._rates: dict[int, _Rate] = {}
 
+    def begin(self, slots: int, warming: bool) -> None:
+        """Forgets the run times of a lifetime that has been replaced."""
+        self.slots = slots
+        self.warming = warming
+        self._run_s.clear()
+        self._mean = _Average(INITIAL_RUN_S * self._warmup_factor)
+
+    @property
+    def _warmup_factor(self) -> float:
+        return WARMUP_FACTOR if self.warming else 1.0
+
     @property
     def running(self) -> int:
         """Number of requests in slots."""
@@ -154,9 +174,10 @@
     def run_s(self, work: Work) -> float:
         """Returns how long a request is expected to run, in seconds."""
         found = self._run_s.get(work.route)
-        if found is None:
-            return INITIAL_RUN_SHARE * work.target_s
-        return found.value
+        return self._first_run_s(work) if found is None else found.value
+
+    def _first_run_s(self, work: Work) -> float:
+        return INITIAL_RUN_SHARE * work.target_s * self._warmup_factor
 
     def enter(self, now_s: float, work: Work) -> tuple[Ticket, list[Ticket]]:
         """Takes a request in, into a slot or the queue.
@@ -213,19 +234,15 @@
         self._waiting = [t for t in self._waiting if t.number != ticket.number]
         if ran_s is None:
             return
-        averages = [
-            self._run_s.setdefault(ticket.work.route, self._new_run(ticket)),
-            self._mean,
-        ]
+        work = ticket.work
+        new = _Average(self._first_run_s(work))
+        averages = [self._run_s.setdefault(work.route, new), self._mean]
         for average in averages:
             if cut:
                 average.add_at_least(ran_s)
             else:
                 average.add(ran_s)
 
-    def _new_run(self, ticket: Ticket) -> _Average:
-        return _Average(INITIAL_RUN_SHARE * ticket.work.target_s)
-
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Forgets the run times of routes that are gone."""
         self._run_s = {k: v for k, v in self._run_s.items() if k in routes}
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -133,7 +133,7 @@
         self._placements = placements.Placements(
             placements.Origin(cfg.daemon, cfg.site, cfg.region), self._rng
         )
-        self.links = links.Links(self._on_report)
+        self.links = links.Links(self._on_report, self._on_quiet)
         self._dealer = virtual_hosts.PartDealer()
         self._ages = caller_ages.CallerAges()
         self._shares = retry_shares.RetryShares(
@@ -164,6 +164,9 @@
         self._placements.report(to, frame.load, now_s)
         self.heard_version = max(self.heard_version, frame.version)
 
+    def _on_quiet(self, to: directories.Registration) -> None:
+        self._placements.unreachable(to, asyncio.get_running_loop().time())
+
     async def handle(self, req: http1.Request) -> http1.Answer:
         """Serves a request of a caller.
 
@@ -406,8 +409,11 @@
         if to.daemon == self._cfg.daemon:
             return await self._send_local(frame)
         link = self.links.to(to)
+        wait_s = links.CONNECT_TIMEOUT_S
+        if self._candidates(call):
+            wait_s = links.CONNECT_WAIT_S
         try:
-            return _result(await link.call(frame))
+            return _result(await link.call(frame, wait_s))
         except links.NotSentError as exc:
             return _failure(
                 frame.attempt, errors.Code.PEER_UNAVAILABLE, str(exc), False
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 
 import loguru
 
@@ -66,6 +67,9 @@
         self._state = feed_trees.FeedState()
         self._children: set[links.FrameConnection] = set()
         self._starts_s = 0.0
+        # Set when all records of a topic have come: whom to follow, and what
+        # to read, is then decided at once.
+        self._synced = asyncio.Event()
         # A version that others have, and since when it is missed.
         self._missing: tuple[int, float] | None = None
         self._tree_seen: tuple[int, frozenset[ids.DaemonId]] | None = None
@@ -98,7 +102,10 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(CHECK_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_S):
+                    await self._synced.wait()
+            self._synced.clear()
             try:
                 self._check(loop.time())
             except Exception:
@@ -276,6 +283,8 @@
         topic, end = follower.topic, follower.table.next
         if end is None:
             return
+        if start is None:
+            self._synced.set()
         records = follower.table.since(start)
         bases = {
             r.key: self._sent[topic, r.key]
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -133,15 +133,18 @@
             if not assumed:
                 self._pool.set_address(said.address)
             self._silence.forget()
+            self.queue.begin(said.slots, said.warmup_left_s > 0)
             _logger.info(
                 "upstream_lifetime",
                 instance=said.instance,
                 born_ms=said.born_ms,
                 slots=said.slots,
                 state=said.state.value,
+                warmup_left_s=said.warmup_left_s,
             )
         if change is not lifetimes.Change.NOTHING:
             self.queue.slots = said.slots
+            self.queue.warming = said.warmup_left_s > 0
         self._after(change)
         return change
 
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -22,8 +22,14 @@
 
 # A connection between regions takes 40 ms; one lost packet adds 200 ms.
 CONNECT_TIMEOUT_S = 0.4
+# A request waits this long for a connection before it goes elsewhere, in
+# seconds. The connection itself and the first message take two round trips,
+# up to 80 ms; a host that is gone costs each request no more than this.
+CONNECT_WAIT_S = 0.12
 # A link with requests in flight is pinged when nothing came for this long.
-PING_AFTER_S = 0.5
+PING_AFTER_S = 0.4
+# A link that is silent for this long gets no new requests, in seconds.
+QUIET_S = 0.8
 # Two pings on a link that loses packets fit into this.
 SILENCE_S = 1.5
 # Pause between requests for a report, in seconds.
@@ -35,6 +41,7 @@
 
 
 OnReport = Callable[[directories.Registration, frames.Report], None]
+OnQuiet = Callable[[directories.Registration], None]
 OnFed = Callable[[ids.DaemonId, frames.Records | frames.Confirm], None]
 
 
@@ -118,10 +125,12 @@
         self,
         to: directories.Registration,
         on_report: OnReport,
+        on_quiet: OnQuiet,
         on_fed: OnFed,
     ):
         self.to = to
         self._on_report = on_report
+        self._on_quiet = on_quiet
         self._on_fed = on_fed
         self._conn: FrameConnection | None = None
         self._connecting: asyncio.Task[FrameConnection] | None = None
@@ -129,17 +138,24 @@
         self.boot = ""
         self.pending: dict[str, asyncio.Future[frames.Frame]] = {}
 
-    async def connect(self) -> FrameConnection:
+    async def connect(
+        self, within_s: float = CONNECT_TIMEOUT_S
+    ) -> FrameConnection:
         """Returns the connection, made if there is none.
 
+        Args:
+            within_s: The longest wait, in seconds. A connection that takes
+                longer is made for those who come later.
+
         Raises:
-            NotSentError: It can't be made.
+            NotSentError: It can't be made in time.
         """
         if self._conn is not None:
             return self._conn
         connecting = self._connecting or self._start_connecting()
         try:
-            return await asyncio.shield(connecting)
+            async with asyncio.timeout(within_s):
+                return await asyncio.shield(connecting)
         except OSError as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             raise NotSentError(f"{self.to.address}: {exc!r}", refused) from exc
@@ -174,16 +190,24 @@
             # Marks the exception as seen; each waiter raises it itself.
             task.exception()
 
-    async def call(self, frame: frames.Request | frames.Ask) -> frames.Frame:
+    async def call(
+        self,
+        frame: frames.Request | frames.Ask,
+        connect_within_s: float = CONNECT_TIMEOUT_S,
+    ) -> frames.Frame:
         """Sends a request and returns what came back.
 
         A request that is cancelled tells the other daemon.
 
+        Args:
+            frame: The request.
+            connect_within_s: How long to wait for a connection, in seconds.
+
         Raises:
             NotSentError: Nothing was sent.
             LinkLostError: The connection ended without an answer.
         """
-        conn = await self.connect()
+        conn = await self.connect(connect_within_s)
         self.boot = conn.boot.result()
         fut: asyncio.Future[frames.Frame] = (
             asyncio.get_running_loop().create_future()
@@ -263,7 +287,10 @@
         if quiet_s > SILENCE_S:
             _logger.warning("link_silent", daemon=self.to.daemon)
             conn.transport.abort()
-        elif quiet_s > PING_AFTER_S and now_s - self._pinged_s > PING_AFTER_S:
+            return
+        if quiet_s > QUIET_S:
+            self._on_quiet(self.to)
+        if quiet_s > PING_AFTER_S and now_s - self._pinged_s > PING_AFTER_S:
             self._pinged_s = now_s
             conn.send(frames.Ping())
 
@@ -282,8 +309,9 @@
         on_fed: Takes what a daemon sends that feeds this one.
     """
 
-    def __init__(self, on_report: OnReport):
+    def __init__(self, on_report: OnReport, on_quiet: OnQuiet):
         self._on_report = on_report
+        self._on_quiet = on_quiet
         self.on_fed: OnFed = lambda daemon, frame: None
         self._links: dict[ids.DaemonId, Link] = {}
         self._checker: asyncio.Task[None] | None = None
@@ -305,7 +333,9 @@
         if link is None or link.to.address != registration.address:
             if link is not None:
                 link.close()
-            link = Link(registration, self._on_report, self._on_fed)
+            link = Link(
+                registration, self._on_report, self._on_quiet, self._on_fed
+            )
             self._links[registration.daemon] = link
         return link
 
--- a/tests/core/test_placements.py
+++ b/tests/core/test_placements.py
@@ -70,8 +70,10 @@
     gone = placed(*NEAR, *FAR)
     for m in NEAR:
         gone.unreachable(m, 10.0)
-    assert choose(gone, NEAR + FAR).to.region == "a"
+    assert choose(gone, NEAR + FAR).to.daemon == "d-8"
     assert choose(gone, FAR).to.daemon == "d-8"
+    # With nothing else, one that could not be reached is tried.
+    assert choose(gone, NEAR).to in NEAR
 
 
 def test_a_region_whose_instances_are_closed_uses_the_other():
@@ -94,6 +96,32 @@
     assert choose(found, NEAR, now_s=10.2).to.daemon in ("d-0", "d-2")
 
 
+def test_a_host_that_is_gone_costs_no_further_request():
+    """Guards against requests that wait for a connection to a lost host.
+
+    The pattern: a third of the hosts were lost without a signal, and their
+    records remain; all daemons restart and know nothing of each other.
+    """
+    found = placed(*NEAR)
+    found.unreachable(NEAR[1], 10.0)
+    probes = []
+    for n in range(600):
+        now_s = 10.0 + 0.1 * n
+        for m in (NEAR[0], NEAR[2]):
+            found.report(m, load(18, 5), now_s)
+        choice = choose(found, NEAR, now_s=now_s)
+        assert choice.to != NEAR[1]
+        if NEAR[1] in choice.ask:
+            probes.append(now_s)
+    pauses_s = [b - a for a, b in zip(probes, probes[1:], strict=False)]
+    assert len(probes) < 40
+    assert max(pauses_s) < placements.MAX_PROBE_S + 0.2
+    # One that answers again is used at once.
+    found.report(NEAR[1], load(0), 80.0)
+    chosen = {choose(found, NEAR[1:], now_s=80.0).to.daemon for _ in range(9)}
+    assert "d-1" in chosen
+
+
 def test_one_that_fails_part_of_its_requests_gets_less():
     """Guards against an instance that fails while its health is good."""
     found = placed(*NEAR, loads={m.daemon: load(1) for m in NEAR})
--- a/tests/core/test_slot_queues.py
+++ b/tests/core/test_slot_queues.py
@@ -168,6 +168,27 @@
     assert queue.mean_run_s == pytest.approx(0.2, rel=0.01)
 
 
+def test_an_upstream_that_warms_up_is_taken_for_slow_from_the_start():
+    """Guards against slots full of work that will be late.
+
+    The pattern: all hosts have lost power, all upstreams start anew, and the
+    callers come back at once.
+    """
+    waiting = {}
+    for warming in (False, True):
+        queue = slot_queues.SlotQueue(6)
+        warm(queue, 0.2)
+        queue.begin(6, warming)
+        fill(queue, 40)
+        waiting[warming] = queue.waiting
+        assert queue.run_s(work()) == pytest.approx(
+            0.35 * 0.8 * (slot_queues.WARMUP_FACTOR if warming else 1)
+        )
+    assert 0 < waiting[True] < waiting[False]
+    queue.warming = False
+    assert queue.run_s(work(route="new")) == pytest.approx(0.35 * 0.8)
+
+
 class Replay:
     """A queue with an upstream behind it, on simulated time.
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -31,12 +31,25 @@
 WAIT_S = 10.0
 # Below the range from which the system takes ports of outgoing connections.
 PORTS = (15_000, 30_000)
+# Ports of one test run, so that runs beside each other take different ones.
+PORTS_OF_RUN = 1_000
+_given_ports: set[int] = set()
 
 
 def free_port():
-    """Returns a port that no outgoing connection takes before its use."""
+    """Returns a port that nothing else takes before its use.
+
+    A port is given once: until its user listens on it, it still seems free.
+    """
+    runs = (PORTS[1] - PORTS[0]) // PORTS_OF_RUN
+    first = PORTS[0] + os.getpid() % runs * PORTS_OF_RUN
+    if len(_given_ports) > PORTS_OF_RUN // 2:
+        _given_ports.clear()
     while True:
-        port = random.randrange(*PORTS)
+        port = first + random.randrange(PORTS_OF_RUN)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with contextlib.closing(socket.socket()) as sock:
             try:
                 sock.bind(("127.0.0.1", port))
