--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -31,6 +31,7 @@
     "footprint",
     "member_costs",
     "operation_costs",
+    "mesh_load",
 )
 
 
--- /dev/null
+++ b/packages/standins/buckthorn_standins/mesh_load.py
@@ -0,0 +1,92 @@
+"""Experiment: what callers get out of a full mesh, by policy."""
+
+import pathlib
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot
+
+from buckthorn_standins import experiments
+from buckthorn_standins import load_patterns
+from buckthorn_standins import mesh_model
+from buckthorn_standins import tables
+
+OUT = pathlib.Path("out")
+SEEDS = 3
+
+POLICIES = {
+    "as in the sidecar": mesh_model.Policy(),
+    "callers' ages ignored": mesh_model.Policy(ages=False),
+    "calls treated like callers": mesh_model.Policy(calls=False),
+    "neither": mesh_model.Policy(ages=False, calls=False),
+    "warm-up ignored": mesh_model.Policy(warmup=False),
+    "hosts at random": mesh_model.Policy(placement=False),
+    "first come, first served": mesh_model.Policy(admission=False),
+}
+
+
+def play(name: str, policy: mesh_model.Policy, seed: int) -> dict[str, float]:
+    """Returns the figures of a pattern under a policy."""
+    played = load_patterns.build(name)
+    model = mesh_model.MeshModel(played, policy, seed)
+    model.run()
+    asked = {r.name: model.tallies[r.name].asked for r in played.routes}
+    earned = sum(
+        r.worth * model.tallies[r.name].in_time
+        + r.late_worth * model.tallies[r.name].late
+        for r in played.routes
+    )
+    total = sum(asked.values())
+    sums = {
+        what: sum(getattr(t, what) for t in model.tallies.values()) / total
+        for what in ("in_time", "late", "refused", "failed")
+    }
+    return {
+        "share of the bound": earned / load_patterns.bound(played, asked),
+        **sums,
+        "wasted slots": model.wasted_s / model.busy_s,
+    }
+
+
+@experiments.experiment("mesh_load")
+def run(options: experiments.Options) -> None:
+    """Compares policies on load patterns, in a simulation."""
+    seeds = [options.seed + n for n in range(options.rounds or SEEDS)]
+    shares: dict[str, list[float]] = {}
+    for name in load_patterns.names():
+        table = None
+        for policy_name, policy in POLICIES.items():
+            plays = [play(name, policy, seed) for seed in seeds]
+            mean = {
+                what: sum(p[what] for p in plays) / len(plays)
+                for what in plays[0]
+            }
+            if table is None:
+                table = tables.Table(name, *mean)
+            table.add(policy_name, *mean.values())
+            shares.setdefault(policy_name, []).append(
+                mean["share of the bound"]
+            )
+        if table is not None:
+            table.print()
+    print(f"plot: {_plot(shares)}")
+
+
+def _plot(shares: dict[str, list[float]]) -> pathlib.Path:
+    """Draws the shares of the bound by pattern and policy."""
+    OUT.mkdir(exist_ok=True)
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    width = 0.8 / len(shares)
+    for index, (policy_name, values) in enumerate(shares.items()):
+        places = [n + index * width for n in range(len(values))]
+        axes.bar(places, values, width, label=policy_name)
+    names = load_patterns.names()
+    axes.set_xticks([n + 0.4 - width / 2 for n in range(len(names))], names)
+    axes.set_ylabel("share of the bound")
+    axes.legend(fontsize="small")
+    path = OUT / "mesh_load.svg"
+    figure.savefig(path)
+    pyplot.close(figure)
+    return path
