Refuse a waiting request when it can't start in time any more

Cause: test_a_full_instance_is_never_given_more_than_its_slots failed once with an unexpected 504. After one fast run the queue expects runs of a few ms and takes in everything; it was looked at again only when a run ended or a request came, so behind slots that hang all waited until their timeout of 1.5 s, the target being 0.8 s. The test then raced the end of the held runs.

Change: a waiting request is refused at the time at which it must have started, with the time in which room is expected.

--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -357,14 +357,15 @@
         self._started[ticket.number] = fut
         admitted = False
         try:
-            async with asyncio.timeout_at(finish_by_s):
+            # Without a run that ends, nothing else looks at the queue.
+            async with asyncio.timeout_at(ticket.start_by_s):
                 await fut
             admitted = True
         except TimeoutError as exc:
             raise errors.RequestError(
                 errors.Code.SLOTS_FULL,
                 "no slot was free in time",
-                REFUSED_RETRY_S,
+                self.queue.retry_after_s(),
             ) from exc
         finally:
             self._started.pop(ticket.number, None)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -221,11 +221,15 @@
 def test_a_full_instance_is_never_given_more_than_its_slots(host, instance):
     """Guards against an instance that hangs, and callers that are held."""
     instance.hold.clear()
+    started_s = time.monotonic()
     calls = [
         in_background(host.call, f"q-{n}", left_ms=1500) for n in range(24)
     ]
     standins.wait_for(lambda: len(instance.runs) == 4)
-    standins.wait_for(lambda: any(r for _, r in calls))
+    # The queue expects runs of a few ms, as the one before, and takes all in.
+    # What has not started in time for the target of 800 ms is refused then.
+    standins.wait_for(lambda: len([r for _, r in calls if r]) == 20)
+    assert time.monotonic() - started_s < 1.1
     assert len(instance.runs) == 4
     instance.hold.set()
     for thread, _ in calls:
