Log what daemons believe of each other and of routes

Cause: that a daemon is taken for unreachable, that a route is taken to carry calls, and how old a caller is taken to be decide over requests, and stood in no log line.

--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -29,6 +29,8 @@
         "bad_request",
         "foreign_answer",
         "link_lost",
+        "daemon_unreachable",
+        "daemon_reachable",
         "upstream_failed",
     }
 )
--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -128,14 +128,20 @@
 
     def report(
         self, to: directories.Registration, load: Load, now_s: float
-    ) -> None:
-        """Takes a report of a daemon's load."""
+    ) -> bool:
+        """Takes a report of a daemon's load.
+
+        Returns:
+            Whether the daemon could not be reached before.
+        """
         seen = self.seen(to)
+        regained = not seen.reachable
         seen.load = load
         seen.reported_s = now_s
         seen.sent_since = 0
         seen.reachable = True
         seen.probe_pause_s = FIRST_PROBE_S
+        return regained
 
     def sent(self, to: directories.Registration) -> None:
         """Notes a request sent since the last report."""
@@ -146,12 +152,14 @@
         seen = self.seen(to)
         seen.avoid_until_s = max(seen.avoid_until_s, now_s + REFUSED_S)
 
-    def unreachable(self, to: directories.Registration, now_s: float) -> None:
-        """Notes a daemon that can't be reached."""
+    def unreachable(self, to: directories.Registration, now_s: float) -> bool:
+        """Notes a daemon that can't be reached; returns whether it is news."""
         seen = self.seen(to)
-        if seen.reachable:
-            seen.reachable = False
-            seen.probe_at_s = now_s + seen.probe_pause_s
+        if not seen.reachable:
+            return False
+        seen.reachable = False
+        seen.probe_at_s = now_s + seen.probe_pause_s
+        return True
 
     def answered(self, to: directories.Registration, failed: bool) -> None:
         """Notes an upstream's own answer or refusal."""
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -77,6 +77,7 @@
         route: Its route in the version that it started with.
         service: The service that runs it.
         finish_by_s: When it gets its final answer at the latest.
+        age_s: How long its caller is taken to have waited before.
         target_at_s: Until then an answer has its full value.
         version: The configuration version that it started with.
         arrivals: Upstreams that it has reached.
@@ -102,6 +103,7 @@
         if says.left_s is not None:
             left_s = min(left_s, says.left_s)
         self.finish_by_s = now_s + left_s
+        self.age_s = age_s
         self.target_at_s = now_s + route.target_s - age_s
         self.caller_until_s = now_s + (says.left_s or route.timeout_s)
         self.version = 0
@@ -161,11 +163,21 @@
         frame: frames.Report,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._placements.report(to, frame.load, now_s)
+        if self._placements.report(to, frame.load, now_s):
+            _logger.info("daemon_reachable", daemon=to.daemon)
         self.heard_version = max(self.heard_version, frame.version)
 
     def _on_quiet(self, to: directories.Registration) -> None:
-        self._placements.unreachable(to, asyncio.get_running_loop().time())
+        self._note_unreachable(to, "the link is quiet")
+
+    def _note_unreachable(
+        self, to: directories.Registration, reason: str
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._placements.unreachable(to, now_s):
+            _logger.warning(
+                "daemon_unreachable", daemon=to.daemon, reason=reason
+            )
 
     async def handle(self, req: http1.Request) -> http1.Answer:
         """Serves a request of a caller.
@@ -235,6 +247,7 @@
             outcome=outcome,
             seconds=round(seconds, 3),
             left_s=call.says.left_s,
+            age_s=round(call.age_s, 3),
             tries=[str(t) for t in call.tries],
         )
 
@@ -380,7 +393,7 @@
         elif result.arrived:
             self._placements.answered(to, True)
         elif result.code is errors.Code.PEER_UNAVAILABLE:
-            self._placements.unreachable(to, now_s)
+            self._note_unreachable(to, result.message)
         else:
             self._placements.refused(to, now_s)
 
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -74,6 +74,7 @@
         self._committed: set[str] = set()
         self._silence = silences.Silence()
         self._call_routes = call_routes.CallRoutes()
+        self._known_calls: set[ids.RouteName] = set()
         self._stopping = False
         self.version = 0
         self.boot = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
@@ -99,6 +100,7 @@
         """Forgets what is known of routes that are gone."""
         self.queue.keep_only(routes)
         self._call_routes.keep_only(routes)
+        self._known_calls &= routes
 
     def load(self) -> placements.Load:
         """Returns the upstream's load."""
@@ -330,9 +332,8 @@
                 REFUSED_RETRY_S,
             )
         now_s = asyncio.get_running_loop().time()
-        self._call_routes.add(req.route, req.caller_service)
         target_at_s = now_s + req.target_left_s
-        if self._call_routes.is_call(req.route):
+        if self._is_call(req):
             target_at_s = finish_by_s
         work = slot_queues.Work(
             req.route,
@@ -374,6 +375,15 @@
                 self._start_waiting()
         return ticket
 
+    def _is_call(self, req: frames.Request) -> bool:
+        """Returns whether an upstream's run is taken to have sent it."""
+        self._call_routes.add(req.route, req.caller_service)
+        is_call = self._call_routes.is_call(req.route)
+        if is_call is not (req.route in self._known_calls):
+            self._known_calls ^= {req.route}
+            _logger.info("route_judged", route=req.route, calls=is_call)
+        return is_call
+
     def _start_waiting(self) -> None:
         now_s = asyncio.get_running_loop().time()
         started, refused = self.queue.start_waiting(now_s)
