List a known fault: callers are not served on their own host

Cause: the placement counts what was sent to a daemon since its last report. Links report the load of other daemons; nothing reports that of the own upstream, so after as many requests as it has slots it looks full for ever. Found by the age of 99 s of such reports in the lines of requests.

The test has two hosts with the same service in two zones: 3 of 40 requests run where they started.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -391,6 +391,22 @@
     return host, other, far, standins.configuration(4, entry, once)
 
 
+def test_callers_are_served_on_their_own_host_while_it_is_idle(
+    host, new_host, new_instance, instance, store
+):
+    """Guards against bytes between hosts and sites that nobody needs."""
+    near = new_instance(instance="i-8")
+    other = new_host("h-2", near, zone="z2")
+    standins.wait_for(lambda: other.readiness() == 200)
+    near.beat(other.ports["control"])
+    topic = "keyed.buckthorn-members"
+    standins.wait_for(lambda: "h-2" in store.newest(topic))
+    time.sleep(0.7)  # Until the other host is known here.
+    for n in range(40):
+        assert host.call(f"q-{n}").status == 200
+    assert len(instance.runs) >= 36
+
+
 def test_a_record_whose_address_another_daemon_has(pair, store, instance):
     """Guards against requests that are sent to a daemon of another service.
 
