Call what exists instead of repeating it, and drop state that can be derived

- egress decided whether an earlier try may have run by reading the outcomes back from the texts for the log; it now asks attempts.Attempts, as the product's daemon does.
A code without a trait no longer raises KeyError there.
- whether another candidate exists no longer builds a list of all of them.
- links closed a silent connection in two places; one is left.
A request that met a closing connection stayed pending for ever, so the link was pinged and never forgotten; it is now checked before it is noted.
- requests and answers of http1 share their fields and the search of headers; a listener's slot no longer holds its request; the slots of a new lifetime are set once; the two pauses after failed reads share their formula.
- caller_ages had two constants with one value and one meaning.
- _is_probe_due changed what it asked about; it is called _take_probe."

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -62,50 +62,48 @@
         self.started = started
 
 
-class Request:
-    """A request as it was read."""
+class Message:
+    """What requests and answers have in common."""
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "target")
+    __slots__ = ("body", "headers", "keep_alive")
 
     def __init__(self) -> None:
-        self.method = ""
-        self.target = ""
         self.headers: Headers = []
         self.body = b""
         self.keep_alive = True
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header; `name` is lower case."""
-        return find(self.headers, name)
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class Request(Message):
+    """A request as it was read."""
+
+    __slots__ = ("method", "target")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.method = ""
+        self.target = ""
 
 
-class Answer:
+class Answer(Message):
     """An answer as it was read.
 
     Attributes:
         began_s: When its headers were complete; steady time.
     """
 
-    __slots__ = ("began_s", "body", "headers", "keep_alive", "status")
+    __slots__ = ("began_s", "status")
 
     def __init__(self) -> None:
+        super().__init__()
         self.began_s = 0.0
         self.status = 0
-        self.headers: Headers = []
-        self.body = b""
-        self.keep_alive = True
-
-    def header(self, name: str) -> str | None:
-        """Returns the first value of a header; `name` is lower case."""
-        return find(self.headers, name)
-
-
-def find(headers: Headers, name: str) -> str | None:
-    """Returns the first value of a header; `name` is lower case."""
-    for key, value in headers:
-        if key.lower() == name:
-            return value
-    return None
 
 
 def end_to_end(headers: Headers) -> Headers:
--- a/packages/core/buckthorn_core/caller_ages.py
+++ b/packages/core/buckthorn_core/caller_ages.py
@@ -20,8 +20,7 @@
 # callers have at first.
 USUAL_QUANTILE = 0.95
 SAMPLES = 200
-MIN_SAMPLES = 20
-# The usual time is computed again after this many requests.
+# The usual time is known, and computed again, after this many requests.
 REFRESH = 20
 
 
@@ -41,11 +40,10 @@
     def add(self, left_s: float) -> None:
         self._times_s.append(left_s)
         self._since += 1
-        if self._since >= REFRESH or len(self._times_s) == MIN_SAMPLES:
+        if self._since >= REFRESH:
             self._since = 0
             times_s = sorted(self._times_s)
-            if len(times_s) >= MIN_SAMPLES:
-                self.usual_s = times_s[int(USUAL_QUANTILE * len(times_s))]
+            self.usual_s = times_s[int(USUAL_QUANTILE * len(times_s))]
 
 
 class CallerAges:
--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -191,7 +191,7 @@
         usable = [c for c in near if self._takes_work(c, now_s)]
         usable.extend(c for c in far if self._has_room(c, now_s))
         ask = [c for c in far if not self._is_fresh(c, now_s)]
-        probe = [c for c in near if self._is_probe_due(c, now_s)]
+        probe = [c for c in near if self._take_probe(c, now_s)]
         if not usable and not region_full:
             usable = self._last_resort(near, far, now_s)
         if not usable:
@@ -221,7 +221,7 @@
         )
         return next((group for group in groups if group), [])
 
-    def _is_probe_due(self, to: directories.Registration, now_s: float) -> bool:
+    def _take_probe(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
         if seen.reachable or now_s < seen.probe_at_s:
             return False
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -1,6 +1,7 @@
 """Requests of callers on this host: route, choice of a daemon, retries."""
 
 import asyncio
+from collections.abc import Iterator
 import itertools
 import random
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
+from buckthorn_core import attempts
 from buckthorn_core import caller_ages
 from buckthorn_core import directories
 from buckthorn_core import errors
@@ -81,6 +83,7 @@
         target_at_s: Until then an answer has its full value.
         version: The configuration version that it started with.
         arrivals: Upstreams that it has reached.
+        failed_tries: What its failed tries add up to.
         region_full: Whether a full upstream of this region refused it.
         tries: What happened so far.
     """
@@ -108,6 +111,7 @@
         self.caller_until_s = now_s + (says.left_s or route.timeout_s)
         self.version = 0
         self.arrivals = 0
+        self.failed_tries = attempts.Attempts()
         self.region_full = False
         self.tried: set[ids.DaemonId] = set()
         self.tries: list[Try] = []
@@ -279,6 +283,7 @@
                     return failed
             else:
                 call.arrivals += result.arrived
+                call.failed_tries.note(_error(result))
                 call.region_full |= self._is_full_here(to, result)
                 refused = result
                 refusals += 1
@@ -327,19 +332,17 @@
         return call.finish_by_s - asyncio.get_running_loop().time()
 
     def _has_choice(self, call: Call) -> bool:
-        return self._time_left_s(call) > 0 and bool(self._candidates(call))
+        return self._time_left_s(call) > 0 and any(self._candidates(call))
 
-    def _candidates(self, call: Call) -> list[directories.Registration]:
-        return [
-            r
-            for r in self._directory.of(call.service)
-            if r.daemon not in call.tried
-        ]
+    def _candidates(self, call: Call) -> Iterator[directories.Registration]:
+        for registration in self._directory.of(call.service):
+            if registration.daemon not in call.tried:
+                yield registration
 
     def _choose(self, call: Call) -> directories.Registration | None:
         now_s = asyncio.get_running_loop().time()
         choice = self._placements.choose(
-            self._candidates(call),
+            list(self._candidates(call)),
             now_s,
             call.route.target_s,
             call.target_at_s - now_s,
@@ -423,7 +426,7 @@
             return await self._send_local(frame)
         link = self.links.to(to)
         wait_s = links.CONNECT_TIMEOUT_S
-        if self._candidates(call):
+        if any(self._candidates(call)):
             wait_s = links.CONNECT_WAIT_S
         try:
             return _result(await link.call(frame, wait_s))
@@ -486,7 +489,7 @@
                 self._retry_after_s(call, RETRY_AFTER_S),
             )
         exc = _error(result)
-        if exc.trait.not_run and call.arrivals and not self._all_not_run(call):
+        if call.failed_tries.outcome(exc) is not exc:
             # An earlier try may have run.
             return errors.RequestError(errors.Code.UPSTREAM_FAILED, exc.message)
         exc.retry_after_s = self._retry_after_s(
@@ -494,13 +497,6 @@
         )
         return exc
 
-    def _all_not_run(self, call: Call) -> bool:
-        return all(
-            errors.TRAITS[errors.code_of(t.outcome)].not_run
-            and not t.outcome.isdecimal()
-            for t in call.tries
-        )
-
     def _retry_after_s(self, call: Call, wanted_s: float) -> float:
         """Returns when the caller should come back, in seconds.
 
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -195,7 +195,7 @@
         if left is not None:
             link = self._links.to(left)
             link.unsubscribe()
-            link.close_if_quiet(asyncio.get_running_loop().time())
+            link.close_if_silent(asyncio.get_running_loop().time())
         parent = self._state.parent
         if parent is None:
             return
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -169,9 +169,10 @@
                 _logger.info("log_regained", topic=self.topic)
 
     def _next_pause_s(self, pause_s: float) -> float:
+        least_s, most_s = MIN_PAUSE_S, MAX_PAUSE_S
         if self._reading is feed_trees.Reading.ONCE:
-            return min(FED_MAX_PAUSE_S, max(FED_MIN_PAUSE_S, 2 * pause_s))
-        return min(MAX_PAUSE_S, max(MIN_PAUSE_S, 2 * pause_s))
+            least_s, most_s = FED_MIN_PAUSE_S, FED_MAX_PAUSE_S
+        return min(most_s, max(least_s, 2 * pause_s))
 
     async def _step(self) -> bool:
         """Reads once; returns whether the log has answered."""
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -144,7 +144,7 @@
                 state=said.state.value,
                 warmup_left_s=said.warmup_left_s,
             )
-        if change is not lifetimes.Change.NOTHING:
+        elif change is not lifetimes.Change.NOTHING:
             self.queue.slots = said.slots
             self.queue.warming = said.warmup_left_s > 0
         self._after(change)
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -209,12 +209,12 @@
         """
         conn = await self.connect(connect_within_s)
         self.boot = conn.boot.result()
+        if conn.transport.is_closing():
+            raise NotSentError(f"{self.to.address}: closing")
         fut: asyncio.Future[frames.Frame] = (
             asyncio.get_running_loop().create_future()
         )
         self.pending[frame.attempt] = fut
-        if conn.transport.is_closing():
-            raise NotSentError(f"{self.to.address}: closing")
         if len(self.pending) == 1:
             conn.heard_s = asyncio.get_running_loop().time()
         conn.send(frame)
@@ -256,12 +256,18 @@
         conn = await self.connect()
         conn.send(frame)
 
-    def close_if_quiet(self, now_s: float) -> None:
-        """Closes a connection on which nothing has come for long."""
+    def close_if_silent(self, now_s: float) -> bool:
+        """Closes a connection on which nothing has come for long.
+
+        Returns:
+            Whether it was closed.
+        """
         conn = self._conn
-        if conn is not None and now_s - conn.heard_s > SILENCE_S:
-            _logger.warning("link_silent", daemon=self.to.daemon)
-            conn.transport.abort()
+        if conn is None or now_s - conn.heard_s <= SILENCE_S:
+            return False
+        _logger.warning("link_silent", daemon=self.to.daemon)
+        conn.transport.abort()
+        return True
 
     def unsubscribe(self) -> None:
         """Ends being fed by the other daemon."""
@@ -281,13 +287,9 @@
     def check(self, now_s: float) -> None:
         """Pings a quiet connection, and closes a silent one."""
         conn = self._conn
-        if conn is None or not self.pending:
+        if conn is None or not self.pending or self.close_if_silent(now_s):
             return
         quiet_s = now_s - conn.heard_s
-        if quiet_s > SILENCE_S:
-            _logger.warning("link_silent", daemon=self.to.daemon)
-            conn.transport.abort()
-            return
         if quiet_s > QUIET_S:
             self._on_quiet(self.to)
         if quiet_s > PING_AFTER_S and now_s - self._pinged_s > PING_AFTER_S:
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -39,12 +39,11 @@
 
 
 class _Slot:
-    """A request in the order of its connection, with its answer to be."""
+    """A place in the order of a connection's answers."""
 
-    __slots__ = ("data", "req", "task")
+    __slots__ = ("data", "task")
 
-    def __init__(self, req: http1.Request | None):
-        self.req = req
+    def __init__(self) -> None:
         self.task: asyncio.Task[None] | None = None
         self.data: bytes | None = None
 
@@ -121,17 +120,15 @@
     def _on_request(self, req: http1.Request) -> None:
         if self._closing or self._last_asked:
             return
-        slot = _Slot(req)
+        slot = _Slot()
         self._slots.append(slot)
         if not req.keep_alive or self._listener.draining:
             self._last_asked = True
-        slot.task = self._loop.create_task(self._run(slot))
+        slot.task = self._loop.create_task(self._run(slot, req))
         if len(self._slots) >= MAX_AHEAD:
             self._transport.pause_reading()
 
-    async def _run(self, slot: _Slot) -> None:
-        req = slot.req
-        assert req is not None
+    async def _run(self, slot: _Slot, req: http1.Request) -> None:
         try:
             answer = await self._listener.handler(req)
             status, headers, body = answer.status, answer.headers, answer.body
@@ -163,7 +160,7 @@
     def _refuse_and_close(self, exc: errors.RequestError) -> None:
         """Answers what can't be read, behind the answers still to come."""
         status, headers, body = refusal(exc)
-        slot = _Slot(None)
+        slot = _Slot()
         slot.data = http1.encode_answer(status, headers, body, True)
         self._slots.append(slot)
         self._last_asked = True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,8 +22,11 @@
 
 def known_red(text):
     """Returns the node ids in the list of known faults."""
-    found = [line.partition("test:") for line in text.splitlines()]
-    return [after.strip() for before, sep, after in found if sep and not before]
+    return [
+        line.removeprefix("test:").strip()
+        for line in text.splitlines()
+        if line.startswith("test:")
+    ]
 
 
 def pytest_collection_modifyitems(config, items):
