--- a/packages/standins/buckthorn_standins/load_patterns.py
+++ b/packages/standins/buckthorn_standins/load_patterns.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
+from collections.abc import Mapping
+import itertools
 
 from buckthorn_core import directories
 from buckthorn_core import ids
@@ -18,6 +19,10 @@
 SECONDS = 24.0
 # When the trouble of a pattern begins and ends, in seconds.
 TROUBLE_S = (8.0, 16.0)
+# When hosts are gone for good, and off for a moment, in seconds.
+GONE_S = (6.0, SECONDS * 2)
+OFF_S = (8.0, 9.0)
+HOSTS = 12
 # Trials of the price of a slot second, for the bound.
 PRICES = tuple(0.5 * n for n in range(49))
 
@@ -50,7 +55,7 @@
     mesh_model.Route(_INDEX, _DESK, 0.0, 0.055, 0.2, 0.6, 0.6, 1, 0.0, 0.0),
 )
 
-Away = Callable[[int, ids.ServiceName, str], tuple[float, float] | None]
+Span = tuple[float, float]
 Build = Callable[[], mesh_model.Pattern]
 _patterns: dict[str, Build] = {}
 
@@ -75,22 +80,22 @@
     return _patterns[name]()
 
 
-def _hosts(away: Away) -> Iterator[mesh_model.Host]:
-    for number in range(12):
-        service = _DESK if number % 3 == 2 else _SHOP
+def _hosts(away: Mapping[int, Span]) -> tuple[mesh_model.Host, ...]:
+    """Returns the hosts, some of which are away for a while."""
+    found = []
+    for number in range(HOSTS):
         site, region = SITES[number % len(SITES)]
-        yield mesh_model.Host(
-            directories.Registration(
-                ids.DaemonId(f"d-{number}"),
-                ids.Address(f"10.0.0.{number}:7380"),
-                service,
-                ids.SiteName(site),
-                ids.RegionName(region),
-                SLOTS,
-            ),
-            FACTORS[number // 3 % len(FACTORS)],
-            away(number, service, region),
+        registration = directories.Registration(
+            ids.DaemonId(f"d-{number}"),
+            ids.Address(f"10.0.0.{number}:7380"),
+            _DESK if number % 3 == 2 else _SHOP,
+            ids.SiteName(site),
+            ids.RegionName(region),
+            SLOTS,
         )
+        factor = FACTORS[number // 3 % len(FACTORS)]
+        found.append(mesh_model.Host(registration, factor, away.get(number)))
+    return tuple(found)
 
 
 def _burst(factor: float) -> Callable[[float], float]:
@@ -101,43 +106,28 @@
 @pattern("burst")
 def burst() -> mesh_model.Pattern:
     """Half more traffic, and two instances fewer."""
-
-    def away(
-        number: int, service: ids.ServiceName, region: str
-    ) -> tuple[float, float] | None:
-        del service, region
-        return (6.0, SECONDS * 2) if number in (3, 5) else None
-
-    return mesh_model.Pattern(ROUTES, tuple(_hosts(away)), SECONDS, _burst(1.5))
+    hosts = _hosts({3: GONE_S, 5: GONE_S})
+    return mesh_model.Pattern(ROUTES, hosts, SECONDS, _burst(1.5))
 
 
 @pattern("called-service-lost")
 def called_service_lost() -> mesh_model.Pattern:
     """A region loses the service that runs call, while traffic rises."""
-
-    def away(
-        number: int, service: ids.ServiceName, region: str
-    ) -> tuple[float, float] | None:
-        del number
-        lost = service == _DESK and region == "b"
-        return (6.0, SECONDS * 2) if lost else None
-
-    return mesh_model.Pattern(ROUTES, tuple(_hosts(away)), SECONDS, _burst(1.4))
+    lost = [
+        number
+        for number, host in enumerate(_hosts({}))
+        if host.registration.service == _DESK
+        and host.registration.region == "b"
+    ]
+    hosts = _hosts(dict.fromkeys(lost, GONE_S))
+    return mesh_model.Pattern(ROUTES, hosts, SECONDS, _burst(1.4))
 
 
 @pattern("restart")
 def restart() -> mesh_model.Pattern:
     """All hosts lose power for a second, and start cold."""
-
-    def away(
-        number: int, service: ids.ServiceName, region: str
-    ) -> tuple[float, float] | None:
-        del number, service, region
-        return 8.0, 9.0
-
-    return mesh_model.Pattern(
-        ROUTES, tuple(_hosts(away)), SECONDS, lambda now_s: 1.0
-    )
+    hosts = _hosts(dict.fromkeys(range(HOSTS), OFF_S))
+    return mesh_model.Pattern(ROUTES, hosts, SECONDS, lambda now_s: 1.0)
 
 
 def _capacity_s(played: mesh_model.Pattern, service: ids.ServiceName) -> float:
@@ -181,15 +171,13 @@
     capacity_s = {s: _capacity_s(played, s) for s in services}
     needs_s = {r.name: _needs_s(played, r) for r in played.routes}
     best = float("inf")
-    for first in PRICES:
-        for second in PRICES:
-            prices = dict(zip(services, (first, second), strict=True))
-            total = sum(prices[s] * capacity_s[s] for s in services)
-            for route in played.routes:
-                cost = sum(
-                    prices[s] * need_s
-                    for s, need_s in needs_s[route.name].items()
-                )
-                total += asked[route.name] * max(0.0, route.worth - cost)
-            best = min(best, total)
+    for trial in itertools.product(PRICES, repeat=len(services)):
+        prices = dict(zip(services, trial, strict=True))
+        total = sum(prices[s] * capacity_s[s] for s in services)
+        for route in played.routes:
+            cost = sum(
+                prices[s] * need_s for s, need_s in needs_s[route.name].items()
+            )
+            total += asked[route.name] * max(0.0, route.worth - cost)
+        best = min(best, total)
     return best
--- a/packages/standins/buckthorn_standins/mesh_model.py
+++ b/packages/standins/buckthorn_standins/mesh_model.py
@@ -212,6 +212,14 @@
         )
 
 
+def _way_s(a: HostModel, b: HostModel) -> float:
+    """Returns the time of a message between two hosts, in seconds."""
+    if a.registration.region != b.registration.region:
+        return REMOTE_S
+    same = a.registration.site == b.registration.site
+    return SITE_S if same else REGION_S
+
+
 class MeshModel:
     """Plays a pattern under a policy.
 
@@ -359,9 +367,9 @@
             return
         attempt.tried.add(to.daemon)
         origin.placements.sent(to)
-        way_s = self._way_s(origin.registration, to)
         model = self._hosts[to.daemon]
-        self._after(way_s, lambda: self._admit(attempt, model, way_s))
+        way_s = _way_s(origin, model)
+        self._after(way_s, lambda: self._admit(attempt, model))
 
     def _choose(self, attempt: Attempt) -> directories.Registration | None:
         route, now_s = attempt.route, self._now_s
@@ -381,32 +389,23 @@
             attempt.region_full,
         )
         for asked in choice.ask:
-            way_s = self._way_s(attempt.origin.registration, asked)
-            report = functools.partial(self._report, attempt.origin, asked)
-            self._after(2 * way_s, report)
+            model = self._hosts[asked.daemon]
+            report = functools.partial(self._report, attempt.origin, model)
+            self._after(2 * _way_s(attempt.origin, model), report)
         return choice.to
 
-    def _report(
-        self, origin: HostModel, asked: directories.Registration
-    ) -> None:
-        load = self._hosts[asked.daemon].load(self._now_s)
-        origin.placements.report(asked, load, self._now_s)
-
-    def _way_s(
-        self, a: directories.Registration, b: directories.Registration
-    ) -> float:
-        if a.region != b.region:
-            return REMOTE_S
-        return REGION_S if a.site != b.site else SITE_S
+    def _report(self, origin: HostModel, asked: HostModel) -> None:
+        load = asked.load(self._now_s)
+        origin.placements.report(asked.registration, load, self._now_s)
 
     # Daemons beside instances.
 
-    def _admit(self, attempt: Attempt, model: HostModel, way_s: float) -> None:
+    def _admit(self, attempt: Attempt, model: HostModel) -> None:
         now_s, route = self._now_s, attempt.route
         if attempt.done:
             return
         if not model.host.is_up(now_s):
-            self._refuse(attempt, model, way_s, errors.Code.DRAINING)
+            self._refuse(attempt, model, errors.Code.DRAINING)
             return
         target_at_s = attempt.target_at_s
         model.call_routes.add(route.name, attempt.origin.registration.service)
@@ -423,7 +422,7 @@
         try:
             ticket, pushed_out = model.queue.enter(now_s, work)
         except errors.RequestError:
-            self._refuse(attempt, model, way_s, errors.Code.SLOTS_FULL)
+            self._refuse(attempt, model, errors.Code.SLOTS_FULL)
             return
         model.waiting[ticket.number] = attempt
         self._refuse_all(model, pushed_out)
@@ -444,17 +443,10 @@
         for ticket in tickets:
             attempt = model.waiting.pop(ticket.number, None)
             if attempt is not None:
-                way_s = self._way_s(
-                    attempt.origin.registration, model.registration
-                )
-                self._refuse(attempt, model, way_s, errors.Code.SLOTS_FULL)
+                self._refuse(attempt, model, errors.Code.SLOTS_FULL)
 
     def _refuse(
-        self,
-        attempt: Attempt,
-        model: HostModel,
-        way_s: float,
-        code: errors.Code,
+        self, attempt: Attempt, model: HostModel, code: errors.Code
     ) -> None:
         load = model.load(self._now_s)
 
@@ -468,7 +460,7 @@
             )
             self._send(attempt)
 
-        self._after(way_s, back)
+        self._after(_way_s(attempt.origin, model), back)
 
     def _start_waiting(self, model: HostModel) -> None:
         started, refused = model.queue.start_waiting(self._now_s)
@@ -502,7 +494,6 @@
             failed = exc is not None and not cut
             model.queue.leave(ticket, None if failed else ran_s, cut)
             load = model.load(self._now_s)
-            way_s = self._way_s(attempt.origin.registration, model.registration)
 
             def back() -> None:
                 attempt.origin.placements.report(
@@ -510,7 +501,7 @@
                 )
                 self._end(attempt, exc)
 
-            self._after(way_s, back)
+            self._after(_way_s(attempt.origin, model), back)
             self._start_waiting(model)
 
         def cut() -> None:
