Keep one list of the headers of one connection

http1 and the product's daemon each had the list and the loop over it; they differ by Host and Content-Length only. hop_headers in the core has both, so that the product's daemon need not load httptools.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -15,26 +15,11 @@
 import httptools
 
 from buckthorn_core import errors
+from buckthorn_core import hop_headers
 from buckthorn_core import ids
 
 Headers = list[tuple[str, str]]
 
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
 _NO_BODY_STATUSES = frozenset({204, 304})
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -107,16 +92,11 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the headers without those of one connection."""
-    named: set[str] = set()
-    for key, value in headers:
-        if key.lower() == "connection":
-            named |= {word.strip().lower() for word in value.split(",")}
-    return [
-        (key, value)
-        for key, value in headers
-        if key.lower() not in HOP_HEADERS and key.lower() not in named
-    ]
+    """Returns the headers without those of one connection.
+
+    The length is left out too: it is written anew with the body.
+    """
+    return hop_headers.end_to_end(headers, "content-length")
 
 
 def encode_request(
--- a/packages/daemon/buckthorn_daemon/headers.py
+++ b/packages/daemon/buckthorn_daemon/headers.py
@@ -6,6 +6,7 @@
 
 from buckthorn_adapters import servers
 from buckthorn_core import errors
+from buckthorn_core import hop_headers
 from buckthorn_core import ids
 from buckthorn_core import signing
 
@@ -21,21 +22,6 @@
 DEFAULT_DEADLINE_S = 5.0
 MAX_DEADLINE_S = 3_600.0
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 _INTERNAL = frozenset(
     {HOP.lower(), AWAIT.lower(), VERSION.lower(), SUSPICION.lower()}
 )
@@ -111,15 +97,7 @@
 
 
 def _end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
-    named = {
-        name.strip().lower()
-        for name in headers.get("connection", "").split(",")
-    }
-    return {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
-    }
+    return dict(hop_headers.end_to_end(headers.items(), "host"))
 
 
 def for_upstream(exchange: servers.Exchange, left_s: float) -> dict[str, str]:
