--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -206,13 +206,17 @@
         del body
         topic = fields["topic"]
         with self._changed:
+            newest = {
+                key: (offset, value)
+                for offset, (key, value) in enumerate(self._topics[topic])
+            }
             items = [
                 {
                     "key": key,
                     "value": base64.b64encode(value).decode(),
-                    "offset": 0,
+                    "offset": offset,
                 }
-                for key, value in dict(self._topics[topic]).items()
+                for key, (offset, value) in newest.items()
                 if value
             ]
             end = len(self._topics[topic])
