Take each word of the log once, so that a circle of feeds grows old

Each passed on the age of the log's word, the way of 2 ms was not part of that age, and so the word stayed 0.03 s old for as long as the circle held: nobody read the log, and the whole region kept version 66 from 27.5 to 31.1 s. The word also went round as fast as the links allow, over 4,000 messages within 0.7 s at one daemon.

A word now names its reader and counts that one's reads; it is taken and passed on only if it is news.

Which daemon feeds which is logged (feed_chosen).

--- a/packages/adapters/buckthorn_adapters/logs.py
+++ b/packages/adapters/buckthorn_adapters/logs.py
@@ -19,9 +19,9 @@
 REPEAT_S = 10.0
 # Events whose repetition is news: each stands for another state.
 REPEATABLE = frozenset({"version_accepted", "version_in_force"})
-# Events that explain single requests, each as often as this in a second: a
-# daemon refuses a few hundred requests a second in a burst, and a line costs
-# about 50 us.
+# Events that explain single requests, or speak of one daemon of many, each as
+# often as this in a second: a daemon refuses a few hundred requests a second
+# in a burst, and a line costs about 50 us.
 RATED = frozenset(
     {
         "request",
@@ -32,6 +32,10 @@
         "daemon_unreachable",
         "daemon_reachable",
         "upstream_failed",
+        "feed_chosen",
+        "feed_lost",
+        "foreign_daemon",
+        "link_silent",
     }
 )
 RATED_PER_S = 100
--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -9,6 +9,12 @@
 feed is stale, dead or behind turns to another one, and soon after reads the
 log itself, once: if a whole region followed the log, each version would cross
 the link between regions many times, and all would become stale.
+
+Daemons that know different members, or have found different ones dead, can
+feed each other in a circle for a while. A word of the log therefore names the
+read that it comes from, and is taken and passed on only once: in a circle it
+would stay fresh for ever, since its way takes less time than its age shows,
+and would go round as fast as the links allow.
 """
 
 from collections.abc import Mapping
@@ -35,12 +41,15 @@
 START_WAIT_S = 2.0
 # After its feed has become stale, a daemon waits this long for the word of the
 # next one before it reads the log, in seconds. Until then only the daemon that
-# is first now reads it.
-TAKEOVER_S = 0.4
+# is first now reads it: two checks of feeds and two trips between regions.
+TAKEOVER_S = 0.3
 # A daemon whose feed has failed is not followed for this long, in seconds; the
 # time doubles with each failure, since hosts are lost for good.
 REST_S = 5.0
 MAX_REST_S = 300.0
+# Readers whose last word is remembered. A region has one, and few others read
+# the log while feeds are replaced.
+MAX_READERS = 64
 
 _KEY = "feed"
 
@@ -60,6 +69,20 @@
 FIRST = Place(None, 0)
 
 
+class Word(NamedTuple):
+    """The log's word that all its records have been passed on.
+
+    Attributes:
+        reader: The process that has read the log.
+        number: Counts the reads of that process.
+        age_s: Age of the read, in seconds.
+    """
+
+    reader: str
+    number: int
+    age_s: float
+
+
 def place_of(me: ids.DaemonId, links: Mapping[ids.DaemonId, float]) -> Place:
     """Returns a daemon's place in the tree.
 
@@ -122,7 +145,14 @@
 class FeedState:
     """Whether this daemon is fed, and how fresh the log's word is."""
 
-    def __init__(self) -> None:
+    def __init__(self, reader: str):
+        """Creates the state of a process; `reader` names it."""
+        self._reader = reader
+        self._reads = 0
+        # The number of each reader's last word, the newest at the end.
+        self._numbers: dict[str, int] = {}
+        # The read that the newest word comes from.
+        self._source = (reader, 0)
         self.parent: ids.DaemonId | None = None
         self._stale_s = STALE_S
         # The log's last word, however it came here.
@@ -151,19 +181,42 @@
         self._fed_s = now_s
         return True
 
-    def fed(self, age_s: float, now_s: float) -> None:
-        """Notes the log's word of an age, from the feed."""
+    def fed(self, word: Word, now_s: float) -> bool:
+        """Takes the log's word from the feed.
+
+        Returns:
+            Whether it is news, and is to be passed on.
+        """
+        is_own = word.reader == self._reader
+        if is_own or word.number <= self._numbers.get(word.reader, 0):
+            return False
+        self._numbers.pop(word.reader, None)
+        self._numbers[word.reader] = word.number
+        while len(self._numbers) > MAX_READERS:
+            del self._numbers[next(iter(self._numbers))]
         if self.parent is not None:
             self._failures.pop(self.parent, None)
-        self._fed_s = max(self._fed_s, now_s - age_s)
-        self._word_s = max(self._word_s, now_s - age_s)
+        as_of_s = now_s - word.age_s
+        self._fed_s = max(self._fed_s, as_of_s)
+        self._note(as_of_s, word.reader, word.number)
+        return True
 
     def read(self, as_of_s: float) -> None:
         """Notes the log's own word, and when it was true."""
-        self._word_s = max(self._word_s, as_of_s)
+        self._reads += 1
+        self._note(as_of_s, self._reader, self._reads)
         if self.parent is None:
             self._failures.clear()
 
+    def _note(self, as_of_s: float, reader: str, number: int) -> None:
+        if as_of_s > self._word_s:
+            self._word_s = as_of_s
+            self._source = (reader, number)
+
+    def word(self, now_s: float) -> Word:
+        """Returns the newest word, to be passed on."""
+        return Word(*self._source, round(self.age_s(now_s), 3))
+
     def age_s(self, now_s: float) -> float:
         """Returns the age of the log's last word, in seconds."""
         return now_s - self._word_s
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -19,7 +19,7 @@
 from buckthorn_sidecar import settings
 
 # How often the feed is looked at, in seconds.
-CHECK_S = 0.2
+CHECK_S = 0.1
 # A daemon that misses a version for this long that another one has looks for
 # another feed, or reads all anew, in seconds. Feeds in two regions differ by
 # up to a second.
@@ -41,6 +41,7 @@
         server: links.LinkServer,
         in_force: Callable[[], int],
         heard_of: Callable[[], int],
+        boot: str,
     ):
         """Creates the feed.
 
@@ -53,6 +54,7 @@
             server: Takes the connections of other daemons.
             in_force: Returns the version in force here.
             heard_of: Returns the newest version that another daemon has.
+            boot: Names this process.
         """
         self._cfg = cfg
         # Only the configuration must never be out of date for long.
@@ -64,7 +66,7 @@
         self._in_force = in_force
         self._heard_of = heard_of
         self._codec = compressors.ZstdDeltaCodec()
-        self._state = feed_trees.FeedState()
+        self._state = feed_trees.FeedState(boot)
         self._children: set[links.FrameConnection] = set()
         self._starts_s = 0.0
         # Set when all records of a topic have come: whom to follow, and what
@@ -121,7 +123,9 @@
         if known and state.step_down(self._cfg.daemon, now_s):
             _logger.warning("log_left_to_others")
         old = state.parent
-        if state.follow(self._place(now_s), now_s):
+        place = self._place(now_s)
+        if state.follow(place, now_s):
+            _logger.info("feed_chosen", daemon=place.parent, depth=place.depth)
             self._switch(old)
         self._set_reading(now_s)
 
@@ -146,7 +150,7 @@
         self._set_reading(now_s)
 
     def _confirm_children(self, now_s: float) -> None:
-        frame = frames.Confirm(round(self._state.age_s(now_s), 3))
+        frame = frames.Confirm(*self._state.word(now_s))
         for conn in self._children:
             conn.send(frame)
 
@@ -220,9 +224,10 @@
             return
         now_s = asyncio.get_running_loop().time()
         if isinstance(frame, frames.Confirm):
-            self._state.fed(frame.age_s, now_s)
-            self._confirm_children(now_s)
-            self._set_reading(now_s)
+            word = feed_trees.Word(frame.reader, frame.number, frame.age_s)
+            if self._state.fed(word, now_s):
+                self._confirm_children(now_s)
+                self._set_reading(now_s)
             return
         follower = self._followers.get(frame.topic)
         if follower is None:
@@ -275,6 +280,9 @@
             records = follower.table.since(start)
             if records or start is None:
                 conn.send(self._records(topic, start, end, records, {}))
+        if self._configurations.synced.is_set():
+            now_s = asyncio.get_running_loop().time()
+            conn.send(frames.Confirm(*self._state.word(now_s)))
 
     def _on_news(
         self, follower: following.TopicFollower, start: ids.Offset | None
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 import math
 import random
 
@@ -13,6 +14,7 @@
 from buckthorn_core import errors
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
+from buckthorn_core import read_pauses
 from buckthorn_core import topic_tables
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import ports
@@ -22,15 +24,11 @@
 # that are fed wait for; a member that is missed for longer does no harm.
 CONFIGURATION_WAIT_S = 0.8
 MEMBERS_WAIT_S = 5.0
-# Pause after a failed read, doubled up to the maximum, in seconds. The
-# maximum stays well below the time in which a version must be in force.
-MIN_PAUSE_S = 0.1
-MAX_PAUSE_S = 0.8
-# The same for daemons that others feed: when the log is away for all, those
-# that follow it for a region try often enough. No version has to be in force
-# until the log has been back for 3 s.
-FED_MIN_PAUSE_S = 0.8
-FED_MAX_PAUSE_S = 2.0
+# A follower whose log has said nothing for this many waits of a long read asks
+# without waiting: others may hope for its word.
+OVERDUE_WAITS = 1.5
+# Pause after a fault of this daemon, or a write that failed, in seconds.
+FAULT_PAUSE_S = 0.8
 # Records that come within this time are read with one call, in seconds.
 GATHER_S = 0.5
 
@@ -76,12 +74,13 @@
         self._meter = meter
         self._task: asyncio.Task[None] | None = None
         self._read: asyncio.Task[ports.Batch | None] | None = None
-        self._rng = random.Random()
+        self._pauses = read_pauses.ReadPauses(random.Random())
         self._lost = False
         self._anew = True
         self._reading = feed_trees.Reading.ALWAYS
         self._may_read = asyncio.Event()
         self._may_read.set()
+        self._reading_changed = asyncio.Event()
         self.table = topic_tables.TopicTable()
         self.synced = asyncio.Event()
         self.confirmed_s = -math.inf
@@ -104,6 +103,9 @@
         if reading is self._reading:
             return
         self._reading = reading
+        # The pause after a failed read is for those that read as before.
+        self._pauses.reset()
+        self._reading_changed.set()
         if reading is feed_trees.Reading.NONE:
             self._may_read.clear()
             if self._read is not None:
@@ -145,34 +147,33 @@
         return True
 
     async def _follow(self) -> None:
-        pause_s = 0.0
         while True:
             await self._may_read.wait()
+            self._reading_changed.clear()
             try:
                 answered = await self._step()
             except errors.LogError as exc:
                 self._note_lost(exc)
-                pause_s = self._next_pause_s(pause_s)
-                await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+                await self._pause(self._pauses.next_s(self._reading))
                 continue
             except Exception:
                 # A fault in one record must not end the following of all.
                 _logger.exception("follower_failed", topic=self.topic)
                 self._anew = True
-                await asyncio.sleep(MAX_PAUSE_S)
+                await asyncio.sleep(FAULT_PAUSE_S)
                 continue
-            pause_s = 0.0
+            self._pauses.reset()
             if answered and self._reading is feed_trees.Reading.ONCE:
                 self.set_reading(feed_trees.Reading.NONE)
             if self._lost and answered:
                 self._lost = False
                 _logger.info("log_regained", topic=self.topic)
 
-    def _next_pause_s(self, pause_s: float) -> float:
-        least_s, most_s = MIN_PAUSE_S, MAX_PAUSE_S
-        if self._reading is feed_trees.Reading.ONCE:
-            least_s, most_s = FED_MIN_PAUSE_S, FED_MAX_PAUSE_S
-        return min(most_s, max(least_s, 2 * pause_s))
+    async def _pause(self, seconds: float) -> None:
+        """Waits, but not longer than the log is read as it is now."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._reading_changed.wait()
 
     async def _step(self) -> bool:
         """Reads once; returns whether the log has answered."""
@@ -202,10 +203,12 @@
     async def _fetch(self, start: ids.Offset | None) -> ports.Batch | None:
         if start is None:
             return await self._log.newest(self.topic)
-        wait_s = (
-            0.0 if self._reading is feed_trees.Reading.ONCE else self._wait_s
+        quiet_s = asyncio.get_running_loop().time() - self.confirmed_s
+        overdue = quiet_s > OVERDUE_WAITS * self._wait_s
+        now = overdue or self._reading is feed_trees.Reading.ONCE
+        return await self._log.read(
+            self.topic, start, 0.0 if now else self._wait_s
         )
-        return await self._log.read(self.topic, start, wait_s)
 
     def _note_lost(self, exc: errors.LogError) -> None:
         self._meter.count("buckthorn_log_failures", topic=self.topic)
@@ -404,5 +407,5 @@
                 _logger.info("registered", daemon=self._daemon)
             except errors.LogError as exc:
                 _logger.warning("registration_failed", error=str(exc))
-                await asyncio.sleep(MAX_PAUSE_S)
+                await asyncio.sleep(FAULT_PAUSE_S)
                 self._changed.set()
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -182,9 +182,13 @@
     """All records of the log have been sent.
 
     Attributes:
-        age_s: Age of the log's word behind this, in seconds.
+        reader: The process that has read the log.
+        number: Counts the reads of that process.
+        age_s: Age of the read, in seconds.
     """
 
+    reader: str
+    number: int
     age_s: float
 
 
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -111,6 +111,7 @@
             self._link_server,
             lambda: self.holder.number,
             lambda: self._egress.heard_version,
+            self.ingress.boot,
         )
         self._registrar = following.Registrar(
             log, topics.members, cfg.daemon, self.directory
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -1,12 +1,23 @@
 """Who feeds whom, and when a feed is no longer trusted."""
 
 import collections
+import itertools
 
 import pytest
 
 from buckthorn_core import feed_trees
 
 CHILD = feed_trees.Place("d-1", 1)
+_numbers = itertools.count(1)
+
+
+def new_state(name="d-0"):
+    return feed_trees.FeedState(name)
+
+
+def word(age_s):
+    """Returns a word of the log that has not been heard before."""
+    return feed_trees.Word("d-first", next(_numbers), age_s)
 
 
 def members(count):
@@ -57,14 +68,14 @@
 
 def test_a_silent_feed_becomes_stale():
     """Guards against a daemon that trusts a feed cut off from the log."""
-    state = feed_trees.FeedState()
+    state = new_state()
     assert state.follow(CHILD, 100.0)
     assert not state.is_stale(101.0)
-    state.fed(0.5, 101.0)
+    state.fed(word(0.5), 101.0)
     assert not state.is_stale(101.0)
     assert state.is_stale(100.5 + feed_trees.STALE_S + 0.1)
     # The age that a feed states counts, not when its word arrived.
-    state.fed(3.0, 110.0)
+    state.fed(word(3.0), 110.0)
     assert state.is_stale(110.0)
 
 
@@ -73,7 +84,7 @@
 
     The pattern: the first daemon of a region is slow for 2 s.
     """
-    near, far = feed_trees.FeedState(), feed_trees.FeedState()
+    near, far = new_state(), new_state()
     near.follow(CHILD, 100.0)
     far.follow(feed_trees.Place("d-2", 2), 100.0)
     assert near.is_stale(101.7)
@@ -83,7 +94,7 @@
 
 def test_a_failed_feed_rests():
     """Guards against a return to the daemon that has just failed."""
-    state = feed_trees.FeedState()
+    state = new_state()
     state.follow(CHILD, 100.0)
     state.fail(100.0)
     assert state.parent is None
@@ -93,7 +104,7 @@
 
 def test_a_host_that_is_gone_is_tried_ever_more_rarely():
     """Guards against a region that waits for a lost host again and again."""
-    state = feed_trees.FeedState()
+    state = new_state()
     now_s, tries = 0.0, 0
     while now_s < 600.0:
         if "d-1" not in state.resting(now_s):
@@ -103,27 +114,27 @@
         now_s += 1.0
     assert tries <= 8
     state.follow(CHILD, now_s)
-    state.fed(0.1, now_s)
+    state.fed(word(0.1), now_s)
     state.fail(now_s)
     assert state.resting(now_s + feed_trees.REST_S) == frozenset()
 
 
 def test_the_reader_of_the_log_is_never_stale():
     """Guards against a first daemon that waits for a feed."""
-    state = feed_trees.FeedState()
+    state = new_state()
     assert not state.follow(feed_trees.FIRST, 100.0)
     assert not state.is_stale(1_000.0)
 
 
 def test_a_daemon_reads_the_log_when_no_feed_has_its_word():
     """Guards against a version that is missed while feeds are replaced."""
-    state = feed_trees.FeedState()
+    state = new_state()
     state.follow(CHILD, 100.0)
-    state.fed(0.0, 100.0)
+    state.fed(word(0.0), 100.0)
     state.fail(101.7)
     state.follow(feed_trees.Place("d-2", 1), 101.7)
-    assert not state.needs_log(101.9)
-    assert state.needs_log(102.1)
+    assert not state.needs_log(101.8)
+    assert state.needs_log(102.0)
     state.read(102.1)
     assert not state.needs_log(102.2)
     # The log's word read here says nothing of the feed.
@@ -138,12 +149,12 @@
         oldest_s: The greatest age of the log's word at a living daemon.
     """
 
-    TICK_S = 0.2
+    TICK_S = 0.1
     LONG_READ_S = 0.8
 
     def __init__(self, count):
         self.everyone = members(count)
-        self.states = {m: feed_trees.FeedState() for m in self.everyone}
+        self.states = {m: new_state(m) for m in self.everyone}
         self.dead = set()
         self.log_answers = lambda member: True
         self.reads = collections.Counter()
@@ -151,7 +162,7 @@
         self._read_s = dict.fromkeys(self.everyone, 0.0)
         self.now_s = 0.0
         for state in self.states.values():
-            state.fed(0.0, 0.0)
+            state.fed(word(0.0), 0.0)
 
     def run(self, seconds):
         end_s = self.now_s + seconds
@@ -193,7 +204,9 @@
                 if above is not None and above not in self.dead:
                     age_s = self.states[above].age_s(self.now_s)
                     if age_s < feed_trees.STALE_S:
-                        state.fed(age_s, self.now_s)
+                        state.fed(
+                            self.states[above].word(self.now_s), self.now_s
+                        )
 
 
 def first_of(region):
@@ -251,7 +264,7 @@
 
 def test_only_the_first_of_a_region_follows_the_log():
     """Guards against calls to the log that grow with the fleet."""
-    state = feed_trees.FeedState()
+    state = new_state()
     state.read(100.0)
     assert state.readings(100.1, KNOWN) == (ALWAYS, ALWAYS)
     state.follow(CHILD, 100.1)
@@ -264,7 +277,7 @@
     The pattern: two daemons start together and each takes the other for the
     first. Words that one of them has read keep the feed of the other fresh.
     """
-    states = [feed_trees.FeedState(), feed_trees.FeedState()]
+    states = [new_state(), new_state()]
     for state in states:
         state.follow(CHILD, 100.0)
         state.read(100.0)
@@ -276,13 +289,45 @@
             readings.append(members)
             if configurations is ONCE:
                 state.read(now_s)
-            other.fed(state.age_s(now_s), now_s)
+            other.fed(state.word(now_s), now_s)
     assert ONCE in readings
 
 
+def test_a_word_that_goes_round_in_a_circle_grows_old():
+    """Guards against a region that takes its own word for the log's.
+
+    The pattern: the log is back after an outage in which the daemons of a
+    region have found different ones dead, and two of them feed each other.
+    Each passes on at once what it hears, and the way takes 2 ms.
+    """
+    states = [new_state("d-1"), new_state("d-2")]
+    for state in states:
+        state.follow(feed_trees.Place("another", 1), 100.0)
+    states[0].read(100.0)
+    now_s, passed_on = 100.0, 0
+    sender, receiver = states
+    while now_s < 102.5:
+        now_s += 0.002
+        if receiver.fed(sender.word(now_s - 0.002), now_s):
+            passed_on += 1
+            sender, receiver = receiver, sender
+    assert passed_on == 1
+    assert all(state.needs_log(now_s) for state in states)
+    assert all(state.is_stale(now_s) for state in states)
+
+
+def test_the_words_of_many_readers_are_not_kept_for_ever():
+    """Guards against memory that grows with each restart of a reader."""
+    state = new_state()
+    for n in range(1_000):
+        assert state.fed(feed_trees.Word(f"d-1/{n}", 1, 0.1), 100.0)
+    assert not state.fed(feed_trees.Word("d-1/999", 1, 0.1), 100.0)
+    assert len(state._numbers) <= feed_trees.MAX_READERS
+
+
 def test_a_daemon_that_nobody_feeds_reads_the_configuration_itself():
     """Guards against a start that waits for a feed for ever."""
-    state = feed_trees.FeedState()
+    state = new_state()
     known = feed_trees.Known(True, False, False, 100.0)
     assert state.readings(100.5, known) == (ALWAYS, NONE)
     assert state.readings(102.1, known) == (ALWAYS, ONCE)
