Serve callers on their own host, and leave out who takes no work

The first message names the daemon, and a link to another one than expected is closed (foreign_daemon).

Daemons that can't be reached are tried as a last resort only if nothing is heard of any instance; with one that reported no slots, the answer is known.

The test of the reused address could count tries of requests sent at the same moment; it now starts those before the record is there. Its bound stays.

--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -40,10 +40,11 @@
 # A daemon that refused gets no request for this long, in seconds, unless
 # there is no other.
 REFUSED_S = 0.1
-# A daemon that can't be reached gets no request until it has been heard of
-# again. It is asked for a report after this long, in seconds, and then ever
-# more rarely: hosts that are lost for good stay listed for a while, and each
-# request that is tried there waits for a connection.
+# A daemon that can't be reached, or whose upstream takes no work, gets no
+# request until it has reported slots. It is asked for a report after this
+# long, in seconds, and then ever more rarely: hosts that are lost for good stay
+# listed for a while, and each request that is tried there waits for a
+# connection.
 FIRST_PROBE_S = 0.25
 MAX_PROBE_S = 2.0
 # Share of requests an instance failed, from which it is avoided.
@@ -91,6 +92,11 @@
         self.probe_at_s = float("-inf")
         self.probe_pause_s = FIRST_PROBE_S
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether requests may be sent there, as far as is known."""
+        return self.reachable and self.load.slots > 0
+
 
 class Origin(msgspec.Struct, frozen=True):
     """Where a request starts."""
@@ -136,11 +142,14 @@
         """
         seen = self.seen(to)
         regained = not seen.reachable
+        if seen.is_usable and load.slots == 0:
+            seen.probe_at_s = now_s + seen.probe_pause_s
         seen.load = load
         seen.reported_s = now_s
         seen.sent_since = 0
         seen.reachable = True
-        seen.probe_pause_s = FIRST_PROBE_S
+        if load.slots:
+            seen.probe_pause_s = FIRST_PROBE_S
         return regained
 
     def sent(self, to: directories.Registration) -> None:
@@ -193,7 +202,7 @@
         ask = [c for c in far if not self._is_fresh(c, now_s)]
         probe = [c for c in near if self._take_probe(c, now_s)]
         if not usable and not region_full:
-            usable = self._last_resort(near, far, now_s)
+            usable = self._last_resort(near, far)
         if not usable:
             return Choice(None, [*ask, *probe])
         scores = {
@@ -208,22 +217,24 @@
         self,
         near: list[directories.Registration],
         far: list[directories.Registration],
-        now_s: float,
     ) -> list[directories.Registration]:
-        """Returns candidates when nothing is known to serve."""
-        open_near = [c for c in near if not self._is_closed(c, now_s)]
-        groups = (
-            [c for c in open_near if self.seen(c).reachable],
-            [c for c in far if self.seen(c).reachable],
-            open_near,
-            far,
-            near,
-        )
-        return next((group for group in groups if group), [])
+        """Returns candidates when none is known to have room.
+
+        Those that have just refused come first. A daemon that can't be reached
+        is tried only if nothing is heard of any: that may be this daemon's
+        own connection.
+        """
+        for group in (near, far):
+            usable = [c for c in group if self.seen(c).is_usable]
+            if usable:
+                return usable
+        if any(self.seen(c).reachable for c in (*near, *far)):
+            return []
+        return near or far
 
     def _take_probe(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
-        if seen.reachable or now_s < seen.probe_at_s:
+        if seen.is_usable or now_s < seen.probe_at_s:
             return False
         seen.probe_pause_s = min(MAX_PROBE_S, 2 * seen.probe_pause_s)
         seen.probe_at_s = now_s + seen.probe_pause_s
@@ -234,11 +245,7 @@
 
     def _takes_work(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
-        rests = seen.avoid_until_s > now_s or not seen.reachable
-        return not rests and not self._is_closed(to, now_s)
-
-    def _is_closed(self, to: directories.Registration, now_s: float) -> bool:
-        return self._is_fresh(to, now_s) and self.seen(to).load.slots == 0
+        return seen.is_usable and seen.avoid_until_s <= now_s
 
     def _has_room(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -341,6 +341,9 @@
 
     def _choose(self, call: Call) -> directories.Registration | None:
         now_s = asyncio.get_running_loop().time()
+        own = self._directory.get(self._cfg.daemon)
+        if own is not None and own.service == call.service:
+            self._placements.report(own, self._local.load(), now_s)
         choice = self._placements.choose(
             list(self._candidates(call)),
             now_s,
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import uuid
 
 import loguru
@@ -52,6 +53,7 @@
         lifetimes: Its lifetime and state.
         version: The configuration version in force, for reports.
         boot: Names this process.
+        on_gate: Called when the upstream begins or ceases to take work.
     """
 
     def __init__(
@@ -76,6 +78,9 @@
         self._call_routes = call_routes.CallRoutes()
         self._known_calls: set[ids.RouteName] = set()
         self._stopping = False
+        # Whether the other daemons were told that no work is taken.
+        self._told_closed = False
+        self.on_gate: Callable[[], None] = lambda: None
         self.version = 0
         self.boot = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
         self.queue = slot_queues.SlotQueue()
@@ -89,6 +94,7 @@
     def stop_admitting(self) -> None:
         """Refuses all new requests from now on."""
         self._stopping = True
+        self._tell_gate()
 
     def close(self) -> None:
         """Ends all exchanges."""
@@ -104,18 +110,25 @@
 
     def load(self) -> placements.Load:
         """Returns the upstream's load."""
-        closed = (
-            self._stopping
-            or not self.lifetimes.takes_work
-            or self._silence.is_resting(asyncio.get_running_loop().time())
-        )
         return placements.Load(
-            0 if closed else self.queue.slots,
+            0 if self._is_closed() else self.queue.slots,
             self.queue.running,
             self.queue.waiting,
             round(self.queue.mean_run_s, 3),
         )
 
+    def _is_closed(self) -> bool:
+        return (
+            self._stopping
+            or not self.lifetimes.takes_work
+            or self._silence.is_resting(asyncio.get_running_loop().time())
+        )
+
+    def _tell_gate(self) -> None:
+        if self._is_closed() is not self._told_closed:
+            self._told_closed = not self._told_closed
+            self.on_gate()
+
     def hello(self) -> frames.Hello:
         """Returns the first message on a connection."""
         return frames.Hello(self.boot, self.load(), self.version)
@@ -189,6 +202,7 @@
                 self._refuse(ticket, errors.Code.DRAINING)
         else:
             self._start_waiting()
+        self._tell_gate()
 
     def submit(self, req: frames.Request) -> "asyncio.Future[frames.Frame]":
         """Runs a request; the result is an answer or a failure."""
@@ -295,6 +309,7 @@
         finally:
             self._committed.discard(req.attempt)
             self._silence.ended(req.attempt, heard, loop.time())
+            self._tell_gate()
             if ticket is not None:
                 # How fast an upstream fails says nothing of how long it runs.
                 ran = arrived and not failed
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -181,9 +181,20 @@
                     conn.transport.abort()
         if conn.boot.cancelled():
             raise ConnectionResetError("closed before the first message")
+        if not self._is_from(conn):
+            # The address of a host that was lost, given to another one.
+            found = conn.boot.result()
+            _logger.info("foreign_daemon", daemon=self.to.daemon, found=found)
+            conn.transport.abort()
+            raise ConnectionRefusedError(f"{found} listens there")
         self._conn = conn
         return conn
 
+    def _is_from(self, conn: FrameConnection) -> bool:
+        """Returns whether the daemon of this link is at the other end."""
+        daemon, _, _ = conn.boot.result().rpartition("/")
+        return daemon == self.to.daemon
+
     def _opened(self, task: asyncio.Task[FrameConnection]) -> None:
         self._connecting = None
         if not task.cancelled():
@@ -230,7 +241,7 @@
     def _on_frame(self, conn: FrameConnection, frame: frames.Frame) -> None:
         if isinstance(frame, frames.Hello) and not conn.boot.done():
             conn.boot.set_result(frame.boot)
-        if isinstance(frame, frames.Report):
+        if isinstance(frame, frames.Report) and self._is_from(conn):
             self._on_report(self.to, frame)
         if isinstance(frame, frames.Records | frames.Confirm):
             self._on_fed(self.to.daemon, frame)
@@ -396,6 +407,11 @@
         for conn in list(self._conns):
             conn.transport.close()
 
+    def broadcast(self, frame: frames.Frame) -> None:
+        """Sends a frame to all daemons that are connected."""
+        for conn in self._conns:
+            conn.send(frame)
+
     def _connected(self) -> FrameConnection:
         conn = FrameConnection(self._on_frame, self._on_end, self._greet)
         self._conns.add(conn)
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -76,6 +76,9 @@
             cfg.callers_listen, self._egress.handle
         )
         self._link_server = links.LinkServer(cfg.daemons_listen, self.ingress)
+        self.ingress.on_gate = lambda: self._link_server.broadcast(
+            self.ingress.pong()
+        )
         self._members = following.MemberFollower(
             cfg.daemon, self.directory, self._egress.forget, self.meter
         )
--- a/tests/core/test_placements.py
+++ b/tests/core/test_placements.py
@@ -169,3 +169,35 @@
         choice = choose(found, NEAR, now_s=now_s)
         tried += choice.to == NEAR[1]
     assert tried == 0
+
+
+def test_an_upstream_that_takes_work_again_is_found():
+    """Guards against an instance left idle after a pause.
+
+    The pattern: an instance of three is closed for 5 s while its service is
+    busy; its daemon's word that it takes work again is lost.
+    """
+    found = placed(*NEAR, loads={"d-1": load(0, slots=0)})
+    asked = []
+    for n in range(100):
+        now_s = 10.0 + 0.1 * n
+        for m in (NEAR[0], NEAR[2]):
+            found.report(m, load(18, 5), now_s)
+        choice = choose(found, NEAR, now_s=now_s)
+        if NEAR[1] in choice.ask:
+            asked.append(now_s)
+            opened = now_s >= 15.0
+            found.report(NEAR[1], load(0, slots=18 * opened), now_s)
+    assert len(asked) < 8
+    assert 15.0 <= asked[-1] < 15.0 + placements.MAX_PROBE_S + 0.2
+    assert choose(found, NEAR[1:2], now_s=now_s).to == NEAR[1]
+
+
+def test_nothing_is_sent_where_no_upstream_takes_work():
+    """Guards against callers who wait for a host that is not there.
+
+    The pattern: an instance drains, and the host of the other one is lost.
+    """
+    found = placed(*NEAR, loads={"d-0": load(0, slots=0)})
+    found.unreachable(NEAR[1], 10.0)
+    assert choose(found, NEAR[:2]).to is None
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -415,13 +415,14 @@
     """
     host, _, _, _ = pair
     topic = "keyed.buckthorn-members"
+    instance.hold.clear()
+    calls = [in_background(host.call, f"q-{n}", left_ms=6000) for n in range(4)]
+    standins.wait_for(lambda: len(instance.runs) == 4)
     standins.wait_for(lambda: "h-2" in store.newest(topic))
     record = json.loads(store.newest(topic)["h-2"])
     record.update(daemon="h-9", service="stock", slots=18)
     store.put(topic, "h-9", json.dumps(record).encode())
-    instance.hold.clear()
-    calls = [in_background(host.call, f"q-{n}", left_ms=1500) for n in range(4)]
-    standins.wait_for(lambda: len(instance.runs) == 4)
+    time.sleep(0.7)  # Until the record is known here.
     for n in range(12):
         host.call(f"r-{n}", left_ms=300)
         time.sleep(0.15)
@@ -455,6 +456,24 @@
     assert far.ran("q-1") == 1
 
 
+def test_others_hear_at_once_when_an_instance_leaves_and_returns(pair, store):
+    """Guards against requests that are refused one by one where nobody works.
+
+    Without a word of it, another daemon learns from each refusal only.
+    """
+    host, other, far, record = pair
+    store.put("keyed.op", "config", record)
+    standins.wait_for(lambda: host.call("q-0", "/orders/1").status == 200)
+    assert far.beat(other.ports["control"], "draining") == 200
+    time.sleep(0.1)  # One message on a connection that exists.
+    assert host.call("q-1", "/orders/1").status == 503
+    [line] = [e for e in host.events("request") if e["request"] == "q-1"]
+    assert line["tries"] == []
+    assert far.beat(other.ports["control"], sequence=1, born=2_000) == 200
+    time.sleep(0.1)
+    assert host.call("q-2", "/orders/1").status == 200
+
+
 def test_a_version_reaches_those_that_are_fed(pair, store):
     """Guards against a daemon that waits for a feed that is gone.
 
