Send one request of fifty to an instance that has reported nothing

Cause: with the own host preferred, an instance that joins a calm service, or is slower than its neighbours, gets nothing from other hosts. They neither know how fast it is nor have a connection to it when load comes.

One request of fifty, if more than half of its target is left, now goes to the instance of the region that has reported nothing for the longest time, 3 s at least. The test replays a calm service that a slower instance joins.

--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -47,6 +47,11 @@
 # connection.
 FIRST_PROBE_S = 0.25
 MAX_PROBE_S = 2.0
+# One request of this many goes to an instance of the region that has reported
+# nothing for the time in seconds: how fast it is changes, and when load comes
+# there is a connection to it. Each costs part of a run at most.
+EXPLORE_EACH = 50
+EXPLORE_AFTER_S = 3.0
 # Share of requests an instance failed, from which it is avoided.
 FAILING_SHARE = 0.2
 FAILURE_SMOOTHING = 0.1
@@ -205,6 +210,9 @@
             usable = self._last_resort(near, far)
         if not usable:
             return Choice(None, [*ask, *probe])
+        unknown = self._to_explore(usable, now_s)
+        if unknown is not None and left_to_target_s > target_s / 2:
+            return Choice(unknown, probe)
         scores = {
             c.daemon: self._score(c, now_s, target_s, left_to_target_s)
             for c in usable
@@ -232,6 +240,16 @@
             return []
         return near or far
 
+    def _to_explore(
+        self, usable: Sequence[directories.Registration], now_s: float
+    ) -> directories.Registration | None:
+        """Returns an instance of the region to be measured anew, at times."""
+        if self._rng.random() * EXPLORE_EACH >= 1.0:
+            return None
+        oldest = min(usable, key=lambda c: self.seen(c).reported_s)
+        quiet_s = now_s - self.seen(oldest).reported_s
+        return oldest if quiet_s > EXPLORE_AFTER_S else None
+
     def _take_probe(self, to: directories.Registration, now_s: float) -> bool:
         seen = self.seen(to)
         if seen.is_usable or now_s < seen.probe_at_s:
--- a/tests/core/test_placements.py
+++ b/tests/core/test_placements.py
@@ -201,3 +201,29 @@
     found = placed(*NEAR, loads={"d-0": load(0, slots=0)})
     found.unreachable(NEAR[1], 10.0)
     assert choose(found, NEAR[:2]).to is None
+
+
+def test_an_instance_that_joins_a_calm_service_is_measured():
+    """Guards against an instance that nobody uses until load comes.
+
+    The pattern: a service is calm, and a slower instance in another zone has
+    joined; the own one would serve all requests in time.
+    """
+    found = placed(*NEAR[:2])
+    tried = []
+    for n in range(1_000):
+        now_s = 10.0 + 0.05 * n
+        for m in NEAR[:2]:
+            found.report(m, load(2, run_s=0.1), now_s)
+        if choose(found, NEAR, now_s=now_s).to == NEAR[2]:
+            tried.append(now_s)
+            found.report(NEAR[2], load(0, run_s=0.3), now_s)
+    assert 5 <= len(tried) <= 1_000 / placements.EXPLORE_EACH
+    pauses_s = [b - a for a, b in zip(tried, tried[1:], strict=False)]
+    assert min(pauses_s) > placements.EXPLORE_AFTER_S
+    # A request with little time left goes where it is served for sure.
+    later = {
+        choose(found, NEAR, now_s=80.0, left_s=0.3).to.daemon
+        for _ in range(500)
+    }
+    assert "d-2" not in later
