Let requests that may run again leave a quiet link

Cause: a request on a host that freezes or is cut off waited until the link was taken for lost (1.5 s) and its outcome had been asked for (up to 1 s more), by when its route's time was over. The test with a frozen host got 504 before and 200 now.

A link without a sign of life for 0.8 s, pings included, now gives up those requests that may run twice, if another instance, an attempt and a share of the retry budget are left; the other daemon is told to cancel them. All others wait as before.

--- a/packages/core/buckthorn_core/retry_shares.py
+++ b/packages/core/buckthorn_core/retry_shares.py
@@ -40,10 +40,10 @@
         """Counts a request of a caller."""
         self._recent(self._requests, service, now_s).append(now_s)
 
-    def take(
+    def has_left(
         self, service: ids.ServiceName, now_s: float, daemons: int, ran: bool
     ) -> bool:
-        """Takes a retry from the share; returns whether there was one left.
+        """Returns whether a retry is left in the share.
 
         Args:
             service: The service that gets the retry.
@@ -57,12 +57,18 @@
         limit = self._ratio * len(requests) + share
         if len(retries) + 1 > limit:
             return False
+        reruns = self._recent(self._reruns, service, now_s)
+        return not ran or len(reruns) + 1 <= RAN_SHARE * limit
+
+    def take(
+        self, service: ids.ServiceName, now_s: float, daemons: int, ran: bool
+    ) -> bool:
+        """Takes a retry from the share; returns whether there was one left."""
+        if not self.has_left(service, now_s, daemons, ran):
+            return False
+        self._recent(self._retries, service, now_s).append(now_s)
         if ran:
-            reruns = self._recent(self._reruns, service, now_s)
-            if len(reruns) + 1 > RAN_SHARE * limit:
-                return False
-            reruns.append(now_s)
-        retries.append(now_s)
+            self._recent(self._reruns, service, now_s).append(now_s)
         return True
 
     def _recent(
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -432,7 +432,13 @@
         if any(self._candidates(call)):
             wait_s = links.CONNECT_WAIT_S
         try:
-            return _result(await link.call(frame, wait_s))
+            return _result(
+                await link.call(frame, wait_s, lambda: self._may_move(call))
+            )
+        except links.LinkQuietError as exc:
+            return _failure(
+                frame.attempt, errors.Code.UPSTREAM_SILENT, str(exc), True
+            )
         except links.NotSentError as exc:
             return _failure(
                 frame.attempt, errors.Code.PEER_UNAVAILABLE, str(exc), False
@@ -446,6 +452,21 @@
             )
             return await self._ask(call, link, frame.attempt)
 
+    def _may_move(self, call: Call) -> bool:
+        """Returns whether a request leaves a daemon that has gone quiet.
+
+        It may run twice, as after a lost link, only sooner.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return (
+            call.route.idempotent
+            and call.arrivals + 1 < call.route.attempts
+            and self._has_choice(call)
+            and self._shares.has_left(
+                call.service, now_s, len(self._directory), True
+            )
+        )
+
     async def _send_local(
         self, frame: frames.Request
     ) -> frames.Answer | frames.Failure:
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import functools
 from typing import Any
+from typing import NamedTuple
 
 import loguru
 
@@ -49,6 +50,10 @@
     """The connection ended with the request's outcome unknown."""
 
 
+class LinkQuietError(Exception):
+    """The other daemon gives no sign of life, and the request moves on."""
+
+
 class NotSentError(Exception):
     """No connection could be made; nothing was sent.
 
@@ -61,6 +66,18 @@
         self.refused = refused
 
 
+class Pending(NamedTuple):
+    """A request without an answer.
+
+    Attributes:
+        fut: Gets the answer.
+        may_move: Returns whether it goes elsewhere if the link is quiet.
+    """
+
+    fut: "asyncio.Future[frames.Frame]"
+    may_move: Callable[[], bool]
+
+
 class FrameConnection(asyncio.Protocol):
     """A connection that carries frames.
 
@@ -136,7 +153,7 @@
         self._connecting: asyncio.Task[FrameConnection] | None = None
         self._pinged_s = 0.0
         self.boot = ""
-        self.pending: dict[str, asyncio.Future[frames.Frame]] = {}
+        self.pending: dict[str, Pending] = {}
 
     async def connect(
         self, within_s: float = CONNECT_TIMEOUT_S
@@ -205,18 +222,22 @@
         self,
         frame: frames.Request | frames.Ask,
         connect_within_s: float = CONNECT_TIMEOUT_S,
+        may_move: Callable[[], bool] = lambda: False,
     ) -> frames.Frame:
         """Sends a request and returns what came back.
 
-        A request that is cancelled tells the other daemon.
+        A request that is cancelled or moves on tells the other daemon.
 
         Args:
             frame: The request.
             connect_within_s: How long to wait for a connection, in seconds.
+            may_move: Asked when the link is quiet: whether the request is not
+                to wait until the link is known to be lost.
 
         Raises:
             NotSentError: Nothing was sent.
             LinkLostError: The connection ended without an answer.
+            LinkQuietError: The link is quiet and the request may move.
         """
         conn = await self.connect(connect_within_s)
         self.boot = conn.boot.result()
@@ -225,13 +246,13 @@
         fut: asyncio.Future[frames.Frame] = (
             asyncio.get_running_loop().create_future()
         )
-        self.pending[frame.attempt] = fut
+        self.pending[frame.attempt] = Pending(fut, may_move)
         if len(self.pending) == 1:
             conn.heard_s = asyncio.get_running_loop().time()
         conn.send(frame)
         try:
             return await fut
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, LinkQuietError):
             if isinstance(frame, frames.Request):
                 conn.send(frames.Cancel(frame.attempt))
             raise
@@ -246,15 +267,15 @@
         if isinstance(frame, frames.Records | frames.Confirm):
             self._on_fed(self.to.daemon, frame)
         elif isinstance(frame, frames.Answer | frames.Failure):
-            fut = self.pending.get(frame.attempt)
-            if fut is not None and not fut.done():
-                fut.set_result(frame)
+            waits = self.pending.get(frame.attempt)
+            if waits is not None and not waits.fut.done():
+                waits.fut.set_result(frame)
 
     def _on_end(self, conn: FrameConnection, why: str) -> None:
         if conn is not self._conn:
             return
         self._conn = None
-        for fut in self.pending.values():
+        for fut, _ in self.pending.values():
             if not fut.done():
                 fut.set_exception(LinkLostError(f"{self.to.address}: {why}"))
 
@@ -303,10 +324,17 @@
         quiet_s = now_s - conn.heard_s
         if quiet_s > QUIET_S:
             self._on_quiet(self.to)
+            self._move_on(quiet_s)
         if quiet_s > PING_AFTER_S and now_s - self._pinged_s > PING_AFTER_S:
             self._pinged_s = now_s
             conn.send(frames.Ping())
 
+    def _move_on(self, quiet_s: float) -> None:
+        for fut, may_move in self.pending.values():
+            if not fut.done() and may_move():
+                text = f"{self.to.address}: quiet for {quiet_s:.2f} s"
+                fut.set_exception(LinkQuietError(text))
+
     def close(self) -> None:
         """Closes the connection."""
         if self._connecting is not None:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,5 +1,6 @@
 """The whole path through real daemons, against stand-ins of the platform."""
 
+import itertools
 import json
 import signal
 import socket
@@ -537,6 +538,49 @@
     assert time.monotonic() - started_s < 1.0
 
 
+def test_a_request_leaves_a_host_that_is_frozen(
+    host, new_host, new_instance, store
+):
+    """Guards against callers who wait for a lost host until their time is over.
+
+    The pattern: a host stops with a lookup on it, and another one has room.
+    """
+    instances = [new_instance("orders", instance=f"i-{n}") for n in (8, 9)]
+    others = [
+        new_host(f"h-{n}", instance, zone="z2")
+        for n, instance in zip((8, 9), instances, strict=True)
+    ]
+    for other, instance in zip(others, instances, strict=True):
+        standins.wait_for(lambda o=other: o.readiness() == 200)
+        instance.beat(other.ports["control"])
+    entry = standins.path_entry("orders", "/orders/", "orders")
+    store.put("keyed.op", "config", standins.configuration(4, entry))
+    numbers = itertools.count()
+    standins.wait_for(
+        lambda: (
+            host.call(f"q-{next(numbers)}", "/orders/1").status == 200
+            and all(i.runs for i in instances)
+        )
+    )
+    for instance in instances:
+        instance.hold.clear()
+    calls = [in_background(host.call, f"r-{n}", "/orders/1") for n in range(2)]
+    standins.wait_for(
+        lambda: all(
+            any(run["id"].startswith("r-") for run in i.runs) for i in instances
+        )
+    )
+    others[0].signal(signal.SIGSTOP)
+    try:
+        for instance in instances:
+            instance.hold.set()
+        for thread, _ in calls:
+            thread.join(standins.WAIT_S)
+    finally:
+        others[0].signal(signal.SIGCONT)
+    assert [results[0].status for _, results in calls] == [200, 200]
+
+
 def test_a_failed_request_is_explained_by_its_id(pair, store):
     """Guards against a failure that logs and metrics can't explain."""
     host, other, _, record = pair
