Take the retry when a request leaves a link, and skip links being accepted

The share is now taken before a request moves. - A word to all connected daemons reached a connection between its acceptance and its first callback, which has no transport yet. The exception would have left a slot taken for good. tests/sidecar replays it, and failed before. - A report that comes before the first message of a link is passed over.

--- a/packages/core/buckthorn_core/retry_shares.py
+++ b/packages/core/buckthorn_core/retry_shares.py
@@ -40,10 +40,10 @@
         """Counts a request of a caller."""
         self._recent(self._requests, service, now_s).append(now_s)
 
-    def has_left(
+    def take(
         self, service: ids.ServiceName, now_s: float, daemons: int, ran: bool
     ) -> bool:
-        """Returns whether a retry is left in the share.
+        """Takes a retry from the share; returns whether there was one left.
 
         Args:
             service: The service that gets the retry.
@@ -57,18 +57,12 @@
         limit = self._ratio * len(requests) + share
         if len(retries) + 1 > limit:
             return False
-        reruns = self._recent(self._reruns, service, now_s)
-        return not ran or len(reruns) + 1 <= RAN_SHARE * limit
-
-    def take(
-        self, service: ids.ServiceName, now_s: float, daemons: int, ran: bool
-    ) -> bool:
-        """Takes a retry from the share; returns whether there was one left."""
-        if not self.has_left(service, now_s, daemons, ran):
-            return False
-        self._recent(self._retries, service, now_s).append(now_s)
         if ran:
-            self._recent(self._reruns, service, now_s).append(now_s)
+            reruns = self._recent(self._reruns, service, now_s)
+            if len(reruns) + 1 > RAN_SHARE * limit:
+                return False
+            reruns.append(now_s)
+        retries.append(now_s)
         return True
 
     def _recent(
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -84,6 +84,7 @@
         version: The configuration version that it started with.
         arrivals: Upstreams that it has reached.
         failed_tries: What its failed tries add up to.
+        has_retry: Whether a retry was taken from the share and not yet used.
         region_full: Whether a full upstream of this region refused it.
         tries: What happened so far.
     """
@@ -112,6 +113,7 @@
         self.version = 0
         self.arrivals = 0
         self.failed_tries = attempts.Attempts()
+        self.has_retry = False
         self.region_full = False
         self.tried: set[ids.DaemonId] = set()
         self.tries: list[Try] = []
@@ -325,6 +327,12 @@
     def _take_retry(self, call: Call, ran: bool) -> bool:
         if call.arrivals >= call.route.attempts:
             return False
+        if call.has_retry:
+            call.has_retry = False
+            return True
+        return self._take_share(call, ran)
+
+    def _take_share(self, call: Call, ran: bool) -> bool:
         now_s = asyncio.get_running_loop().time()
         return self._shares.take(call.service, now_s, len(self._directory), ran)
 
@@ -455,17 +463,17 @@
     def _may_move(self, call: Call) -> bool:
         """Returns whether a request leaves a daemon that has gone quiet.
 
-        It may run twice, as after a lost link, only sooner.
+        It may run twice, as after a lost link, only sooner. Without a retry in
+        the share it waits on.
         """
-        now_s = asyncio.get_running_loop().time()
-        return (
-            call.route.idempotent
-            and call.arrivals + 1 < call.route.attempts
-            and self._has_choice(call)
-            and self._shares.has_left(
-                call.service, now_s, len(self._directory), True
-            )
-        )
+        if (
+            not call.route.idempotent
+            or call.arrivals + 1 >= call.route.attempts
+            or not self._has_choice(call)
+        ):
+            return False
+        call.has_retry = self._take_share(call, ran=True)
+        return call.has_retry
 
     async def _send_local(
         self, frame: frames.Request
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -209,6 +209,8 @@
 
     def _is_from(self, conn: FrameConnection) -> bool:
         """Returns whether the daemon of this link is at the other end."""
+        if not conn.boot.done() or conn.boot.cancelled():
+            return False
         daemon, _, _ = conn.boot.result().rpartition("/")
         return daemon == self.to.daemon
 
@@ -438,7 +440,9 @@
     def broadcast(self, frame: frames.Frame) -> None:
         """Sends a frame to all daemons that are connected."""
         for conn in self._conns:
-            conn.send(frame)
+            # One that was just accepted is greeted with the same report.
+            if conn.transport is not None:
+                conn.send(frame)
 
     def _connected(self) -> FrameConnection:
         conn = FrameConnection(self._on_frame, self._on_end, self._greet)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -564,21 +564,26 @@
     )
     for instance in instances:
         instance.hold.clear()
-    calls = [in_background(host.call, f"r-{n}", "/orders/1") for n in range(2)]
-    standins.wait_for(
-        lambda: all(
-            any(run["id"].startswith("r-") for run in i.runs) for i in instances
+    thread, results = in_background(host.call, "r-1", "/orders/1")
+    frozen, _ = standins.wait_for(
+        lambda: next(
+            (
+                pair
+                for pair in zip(others, instances, strict=True)
+                if pair[1].ran("r-1")
+            ),
+            None,
         )
     )
-    others[0].signal(signal.SIGSTOP)
+    frozen.signal(signal.SIGSTOP)
     try:
         for instance in instances:
             instance.hold.set()
-        for thread, _ in calls:
-            thread.join(standins.WAIT_S)
+        thread.join(standins.WAIT_S)
     finally:
-        others[0].signal(signal.SIGCONT)
-    assert [results[0].status for _, results in calls] == [200, 200]
+        frozen.signal(signal.SIGCONT)
+    assert results[0].status == 200
+    assert sum(instance.ran("r-1") for instance in instances) == 2
 
 
 def test_a_failed_request_is_explained_by_its_id(pair, store):
--- /dev/null
+++ b/tests/sidecar/test_links.py
@@ -0,0 +1,95 @@
+"""Connections between sidecars."""
+
+import asyncio
+
+from buckthorn_core import directories
+from buckthorn_core import placements
+from buckthorn_sidecar import frames
+from buckthorn_sidecar import links
+
+LOAD = placements.Load(4, 0, 0, 0.1)
+
+
+def registration(daemon, address):
+    return directories.Registration(daemon, address, "stock", "a1", "a", 4)
+
+
+def link_to(daemon, server, reports):
+    host, port = server.sockets[0].getsockname()[:2]
+    return links.Link(
+        registration(daemon, f"{host}:{port}"),
+        lambda to, frame: reports.append((to.daemon, frame)),
+        lambda to: None,
+        lambda fed_by, frame: None,
+    )
+
+
+def test_a_word_to_all_passes_over_a_connection_that_is_being_accepted():
+    """Guards against a slot that stays taken after an exception.
+
+    The gate closes, and its daemon tells all others, between the acceptance of
+    a connection and its first callback.
+    """
+
+    async def run():
+        server = links.LinkServer("127.0.0.1:1", None)
+        server._connected()
+        server.broadcast(frames.Pong(LOAD, 1))
+
+    asyncio.run(run())
+
+
+def test_a_link_to_another_daemon_than_expected_is_not_used():
+    """Guards against a report that is taken for another daemon's."""
+
+    async def greet(_, writer):
+        writer.write(frames.encode(frames.Hello("d-2/1", LOAD, 1)))
+        await writer.drain()
+
+    async def run(daemon):
+        server = await asyncio.start_server(greet, "127.0.0.1", 0)
+        reports = []
+        link = link_to(daemon, server, reports)
+        try:
+            await link.connect()
+            refused = False
+        except links.NotSentError as exc:
+            refused = exc.refused
+        link.close()
+        server.close()
+        return refused, [name for name, _ in reports]
+
+    assert asyncio.run(run("d-1")) == (True, [])
+    assert asyncio.run(run("d-2")) == (False, ["d-2"])
+
+
+def test_only_requests_that_may_move_leave_a_quiet_link():
+    """Guards against a booking that is given up, and a lookup that waits."""
+
+    async def greet(_, writer):
+        writer.write(frames.encode(frames.Hello("d-1/1", LOAD, 1)))
+        await writer.drain()
+
+    async def run():
+        server = await asyncio.start_server(greet, "127.0.0.1", 0)
+        link = link_to("d-1", server, [])
+        stays = asyncio.create_task(link.call(frames.Ask("a", "d-1/1")))
+        moves = asyncio.create_task(
+            link.call(frames.Ask("b", "d-1/1"), may_move=lambda: True)
+        )
+        while len(link.pending) < 2:
+            await asyncio.sleep(0.01)
+        now_s = asyncio.get_running_loop().time()
+        link.check(now_s + links.QUIET_S - 0.1)
+        await asyncio.sleep(0.01)
+        assert not moves.done()
+        link.check(now_s + links.QUIET_S + 0.1)
+        await asyncio.wait((moves,), timeout=1.0)
+        assert isinstance(moves.exception(), links.LinkQuietError)
+        assert not stays.done()
+        link.close()
+        await asyncio.wait((stays,), timeout=1.0)
+        assert isinstance(stays.exception(), links.LinkLostError)
+        server.close()
+
+    asyncio.run(run())
