Let the model of a mesh wait and place as the sidecar does

Work that waits in the model was given up at its caller's limit; the sidecar refuses it once it can't start in time. The own host's load is read at each choice in both now. First come, first served still waits until the limit.

--- a/packages/standins/buckthorn_standins/mesh_model.py
+++ b/packages/standins/buckthorn_standins/mesh_model.py
@@ -381,6 +381,8 @@
         ]
         if not self._policy.placement:
             return self._rng.choice(candidates) if candidates else None
+        if attempt.origin.registration.service == route.service:
+            self._report(attempt.origin, attempt.origin)
         choice = attempt.origin.placements.choose(
             candidates,
             now_s,
@@ -431,11 +433,16 @@
             return
 
         def give_up() -> None:
-            if model.waiting.pop(ticket.number, None) is not None:
+            if ticket.number in model.waiting:
                 model.queue.leave(ticket)
+                self._refuse_all(model, [ticket])
                 self._start_waiting(model)
 
-        self._at(attempt.finish_by_s, give_up)
+        # Without admission, work waits until its caller gets its final answer.
+        until_s = attempt.finish_by_s
+        if self._policy.admission:
+            until_s = ticket.start_by_s
+        self._at(until_s, give_up)
 
     def _refuse_all(
         self, model: HostModel, tickets: list[slot_queues.Ticket]
