--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -280,11 +280,13 @@
     shed: list[str] = []
 
     def is_shed() -> bool:
+        # Callers of orders may still wait for links that were silent.
         # The six callers of orders are refused as often meanwhile.
         answer = call(near[0], "POST", "/bookings/0", body=b"x")
         if "Buckthorn-Not-Run" in answer.headers:
             shed.append(answer.headers["Buckthorn-Not-Run"])
-        return len(shed) >= 20
+        refused = judging.judge(list(load.outcomes), []).refused
+        return len(shed) >= 20 and refused > 0
 
     ready.wait_until(is_shed, 30.0, "shedding")
     for instance in all_bookings:
