Send the log's word as it is, and reuse the check for hosts that take work

Confirm repeated the fields of feed_trees.Word, and the check for room in another region repeated the one for hosts that take work. No change in behaviour.

--- a/packages/core/buckthorn_core/placements.py
+++ b/packages/core/buckthorn_core/placements.py
@@ -270,8 +270,7 @@
         load = seen.load
         busy = seen.sent_since + load.running + load.waiting
         return (
-            seen.reachable
-            and seen.avoid_until_s <= now_s
+            self._takes_work(to, now_s)
             and self._is_fresh(to, now_s)
             and busy < ROOM_SHARE * load.slots
         )
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -150,7 +150,7 @@
         self._set_reading(now_s)
 
     def _confirm_children(self, now_s: float) -> None:
-        frame = frames.Confirm(*self._state.word(now_s))
+        frame = frames.Confirm(self._state.word(now_s))
         for conn in self._children:
             conn.send(frame)
 
@@ -224,8 +224,7 @@
             return
         now_s = asyncio.get_running_loop().time()
         if isinstance(frame, frames.Confirm):
-            word = feed_trees.Word(frame.reader, frame.number, frame.age_s)
-            if self._state.fed(word, now_s):
+            if self._state.fed(frame.word, now_s):
                 self._confirm_children(now_s)
                 self._set_reading(now_s)
             return
@@ -282,7 +281,7 @@
                 conn.send(self._records(topic, start, end, records, {}))
         if self._configurations.synced.is_set():
             now_s = asyncio.get_running_loop().time()
-            conn.send(frames.Confirm(*self._state.word(now_s)))
+            conn.send(frames.Confirm(self._state.word(now_s)))
 
     def _on_news(
         self, follower: following.TopicFollower, start: ids.Offset | None
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from buckthorn_core import errors
+from buckthorn_core import feed_trees
 from buckthorn_core import ids
 from buckthorn_core import placements
 
@@ -182,14 +183,10 @@
     """All records of the log have been sent.
 
     Attributes:
-        reader: The process that has read the log.
-        number: Counts the reads of that process.
-        age_s: Age of the read, in seconds.
+        word: The log's word behind this.
     """
 
-    reader: str
-    number: int
-    age_s: float
+    word: feed_trees.Word
 
 
 Frame = (
