Read large topics without the versions in between, and await a feed's first word

A configuration of 354 KB takes 0.5 s on a link of 7 Mbit/s. Behind it the reader of a region gathered for 0.5 s and then waited for 0.8 s, so its word came 1.8 s after the last one and all that it fed took it for stale after 1.6 s. Each of them then read every version since, as they came, over the link between regions, and fell further behind. Besides, each daemon that started read the whole configuration (472 KB) though it had just been fed: the feed's first word comes behind its records, and without a word the log was read at once.

Ruled out: the store (its answers took 50 ms), the size of deltas between daemons (versions went from the reader to all others in 0.1 s).

Change: the next word is due a fixed time after the last one; a topic with large records is asked for its end, and read from its newest record if several are missing; a daemon that has been fed waits 2 s for the first word and does not read all records again; what to read is decided before the next read begins; a record against an unknown base is asked for instead of giving the feed up; feeds may be older where versions have more time than 2.5 s.

--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -27,15 +27,21 @@
 
 # Daemons that one daemon feeds. At 3,100 daemons a region the tree is 4 deep.
 FAN_OUT = 8
-# Age of the log's word beyond which a feed is not trusted, in seconds. With
-# the read that follows it stays within the time in which a version must be in
-# force, 2.5 s after its acceptance; regions with more than FAN_OUT + 1 daemons
-# have 3 s and more.
+# Age of the log's word beyond which a feed is not trusted, in seconds, where
+# versions must be in force within 2.5 s; regions of such meshes have at most
+# FAN_OUT + 1 daemons.
 STALE_S = 1.6
 # Daemons further from the log wait longer, in seconds: when the first one is
 # slow, those it feeds directly read the log, and feed the others. All reading
 # at once would fill the link between regions.
 DEEP_STALE_S = 2.2
+# Where there is more time, a feed becomes stale this long before a version must
+# be in force, in seconds: the read of the log that follows takes TAKEOVER_S,
+# two trips and half a second for 350 KB on a link of 7 Mbit/s.
+DEEP_RESERVE_S = 0.8
+RESERVE_S = DEEP_RESERVE_S + DEEP_STALE_S - STALE_S
+# In force within this time, in seconds, unless the settings say otherwise.
+CONVERGE_S = 2.5
 # A daemon that starts waits this long to be fed with the configuration, in
 # seconds, before it reads the log.
 START_WAIT_S = 2.0
@@ -145,18 +151,27 @@
 class FeedState:
     """Whether this daemon is fed, and how fresh the log's word is."""
 
-    def __init__(self, reader: str):
-        """Creates the state of a process; `reader` names it."""
+    def __init__(self, reader: str, converge_s: float = CONVERGE_S):
+        """Creates the state of a process.
+
+        Args:
+            reader: Names the process.
+            converge_s: Time within which an accepted version must be in
+                force, in seconds.
+        """
         self._reader = reader
+        self._near_stale_s = max(STALE_S, converge_s - RESERVE_S)
+        self._deep_stale_s = max(DEEP_STALE_S, converge_s - DEEP_RESERVE_S)
         self._reads = 0
         # The number of each reader's last word, the newest at the end.
         self._numbers: dict[str, int] = {}
         # The read that the newest word comes from.
         self._source = (reader, 0)
         self.parent: ids.DaemonId | None = None
-        self._stale_s = STALE_S
+        self._stale_s = self._near_stale_s
         # The log's last word, however it came here.
         self._word_s = -math.inf
+        self._heard = False
         # The last word of the parent, or when the last one was lost or chosen.
         self._fed_s = -math.inf
         self._rests_until_s: dict[ids.DaemonId, float] = {}
@@ -173,7 +188,8 @@
 
     def follow(self, place: Place, now_s: float) -> bool:
         """Takes the place in the tree; returns whether the parent changed."""
-        self._stale_s = STALE_S if place.depth <= 1 else DEEP_STALE_S
+        is_near = place.depth <= 1
+        self._stale_s = self._near_stale_s if is_near else self._deep_stale_s
         if place.parent == self.parent:
             return False
         self.parent = place.parent
@@ -210,6 +226,7 @@
 
     def _note(self, as_of_s: float, reader: str, number: int) -> None:
         if as_of_s > self._word_s:
+            self._heard = True
             self._word_s = as_of_s
             self._source = (reader, number)
 
@@ -235,7 +252,10 @@
             Whether this daemon was the first and is not any more.
         """
         waits_since_s = max(self._word_s, self._fed_s)
-        if self.parent is not None or now_s - waits_since_s <= STALE_S:
+        if (
+            self.parent is not None
+            or now_s - waits_since_s <= self._near_stale_s
+        ):
             return False
         self._rest(me, now_s)
         return True
@@ -257,11 +277,14 @@
     def readings(self, now_s: float, known: Known) -> tuple[Reading, Reading]:
         """Returns how the members and the configuration are to be read."""
         first = self.parent is None
-        if known.configurations:
-            needed = self.needs_log(now_s)
-        else:
+        if not known.configurations:
             # At the first start of all, nobody knows yet who is first.
             first = first and known.listed
+        if known.configurations and self._heard:
+            needed = self.needs_log(now_s)
+        else:
+            # The feed's records come before its first word, which follows
+            # them over the same link.
             needed = now_s - known.starts_s > START_WAIT_S
         fed = Reading.ONCE if needed else Reading.NONE
         configurations = Reading.ALWAYS if first else fed
--- a/packages/core/buckthorn_core/topic_tables.py
+++ b/packages/core/buckthorn_core/topic_tables.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from buckthorn_core import ids
+from buckthorn_core import log_reads
 
 
 class Record(NamedTuple):
@@ -30,6 +31,17 @@
     def __init__(self) -> None:
         self.next: ids.Offset | None = None
         self._by_key: dict[str, Record] = {}
+        self._large_keys: set[str] = set()
+
+    @property
+    def is_large(self) -> bool:
+        """Whether a record is too large to be read in vain."""
+        return bool(self._large_keys)
+
+    @property
+    def last_key(self) -> str:
+        """The last key in order; empty if there is none."""
+        return max(self._by_key, default="")
 
     def get(self, key: str) -> Record | None:
         """Returns a key's newest record, or None."""
@@ -42,20 +54,48 @@
             old = self._by_key.get(record.key)
             if old is None or record.offset > old.offset:
                 self._by_key[record.key] = record
+                self._note_size(record)
                 news.append(record)
         self.next = max(end, self.next or end)
         return news
 
-    def replace(self, records: Iterable[Record], end: ids.Offset) -> set[str]:
-        """Takes all newest records; returns the keys that are gone."""
-        found = {r.key: r for r in records if r.value}
-        gone = {
+    def _note_size(self, record: Record) -> None:
+        if len(record.value) >= log_reads.LARGE_BYTES:
+            self._large_keys.add(record.key)
+        else:
+            self._large_keys.discard(record.key)
+
+    def changes(
+        self, newest: Iterable[Record], end: ids.Offset
+    ) -> list[Record]:
+        """Returns what has changed, given all newest records.
+
+        Args:
+            newest: The newest record of each key.
+            end: The topic's end at that time.
+        """
+        found = list(newest)
+        start = self.next or ids.Offset(0)
+        dropped = [
+            Record(key, b"", ids.Offset(end - 1))
+            for key in self._gone({r.key for r in found}, end)
+        ]
+        return [r for r in found if r.offset >= start] + dropped
+
+    def _gone(self, found: set[str], end: ids.Offset) -> set[str]:
+        return {
             key
             for key, old in self._by_key.items()
             if key not in found and old.value and old.offset < end
         }
+
+    def replace(self, records: Iterable[Record], end: ids.Offset) -> set[str]:
+        """Takes all newest records; returns the keys that are gone."""
+        found = {r.key: r for r in records if r.value}
+        gone = self._gone(set(found), end)
         for key in gone:
             del self._by_key[key]
+            self._large_keys.discard(key)
         self.put(found.values(), end)
         return gone
 
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
+import math
 
 import loguru
 
@@ -22,8 +22,12 @@
 CHECK_S = 0.1
 # A daemon that misses a version for this long that another one has looks for
 # another feed, or reads all anew, in seconds. Feeds in two regions differ by
-# up to a second.
+# up to a second. Where versions have more time to be in force, half of it.
 BEHIND_S = 1.6
+BEHIND_SHARE = 0.5
+# A daemon that asked its feed for records does not ask again, or give it up
+# for records that do not fit, for this long, in seconds.
+ASK_AGAIN_S = 1.0
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -66,12 +70,11 @@
         self._in_force = in_force
         self._heard_of = heard_of
         self._codec = compressors.ZstdDeltaCodec()
-        self._state = feed_trees.FeedState(boot)
+        self._state = feed_trees.FeedState(boot, cfg.converge_s)
+        self._behind_s = max(BEHIND_S, BEHIND_SHARE * cfg.converge_s)
+        self._asked_s = -math.inf
         self._children: set[links.FrameConnection] = set()
         self._starts_s = 0.0
-        # Set when all records of a topic have come: whom to follow, and what
-        # to read, is then decided at once.
-        self._synced = asyncio.Event()
         # A version that others have, and since when it is missed.
         self._missing: tuple[int, float] | None = None
         self._tree_seen: tuple[int, frozenset[ids.DaemonId]] | None = None
@@ -104,15 +107,15 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_S):
-                    await self._synced.wait()
-            self._synced.clear()
-            try:
-                self._check(loop.time())
-            except Exception:
-                # Without this loop a lost feed would never be replaced.
-                _logger.exception("feed_failed")
+            await asyncio.sleep(CHECK_S)
+            self._check_safely(loop.time())
+
+    def _check_safely(self, now_s: float) -> None:
+        try:
+            self._check(now_s)
+        except Exception:
+            # Without the checks a lost feed would never be replaced.
+            _logger.exception("feed_failed")
 
     def _check(self, now_s: float) -> None:
         state = self._state
@@ -161,7 +164,7 @@
             self._missing = None
         elif self._missing is None or self._missing[0] <= self._in_force():
             self._missing = (heard_of, now_s)
-        elif now_s - self._missing[1] >= BEHIND_S:
+        elif now_s - self._missing[1] >= self._behind_s:
             self._missing = None
             _logger.warning("log_read_again", version=heard_of)
             self._state.distrust()
@@ -235,11 +238,26 @@
         try:
             records = [self._decode(follower, r) for r in frame.records]
         except errors.PeerError as exc:
-            self._fail(str(exc), now_s)
+            self._ask_again(str(exc), now_s)
             return
         start = None if frame.start is None else ids.Offset(frame.start)
         if not follower.take(records, start, ids.Offset(frame.end)):
-            self._fail("gap", now_s)
+            self._ask_again("gap", now_s)
+
+    def _ask_again(self, why: str, now_s: float) -> None:
+        """Asks the feed for the records from those on that are known here.
+
+        What a daemon has read from the log itself meanwhile may be newer than
+        the record that a feed compresses the next one against.
+        """
+        parent = self._state.parent
+        if parent is None or now_s - self._asked_s < ASK_AGAIN_S:
+            return
+        self._asked_s = now_s
+        _logger.info("feed_asked_again", daemon=parent, reason=why)
+        if self._subscribing is not None:
+            self._subscribing.cancel()
+        self._subscribing = asyncio.create_task(self._subscribe(parent))
 
     def _decode(
         self, follower: following.TopicFollower, fed: frames.FedRecord
@@ -291,7 +309,9 @@
         if end is None:
             return
         if start is None:
-            self._synced.set()
+            # Whom to follow, and what to read, is decided before the next
+            # read begins.
+            self._check_safely(asyncio.get_running_loop().time())
         records = follower.table.since(start)
         bases = {
             r.key: self._sent[topic, r.key]
--- a/packages/sidecar/buckthorn_sidecar/following.py
+++ b/packages/sidecar/buckthorn_sidecar/following.py
@@ -14,6 +14,7 @@
 from buckthorn_core import errors
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
+from buckthorn_core import log_reads
 from buckthorn_core import read_pauses
 from buckthorn_core import topic_tables
 from buckthorn_core import virtual_hosts
@@ -24,9 +25,6 @@
 # that are fed wait for; a member that is missed for longer does no harm.
 CONFIGURATION_WAIT_S = 0.8
 MEMBERS_WAIT_S = 5.0
-# A follower whose log has said nothing for this many waits of a long read asks
-# without waiting: others may hope for its word.
-OVERDUE_WAITS = 1.5
 # Pause after a fault of this daemon, or a write that failed, in seconds.
 FAULT_PAUSE_S = 0.8
 # Records that come within this time are read with one call, in seconds.
@@ -61,7 +59,8 @@
         Args:
             log: The log.
             topic: The topic.
-            wait_s: How long a read waits for records, in seconds.
+            wait_s: The longest time between two answers of the log, in
+                seconds.
             on_record: Takes each record that is news; it raises nothing.
             on_all: Takes the keys that are gone, after all were read.
             meter: Counts failures.
@@ -77,6 +76,7 @@
         self._pauses = read_pauses.ReadPauses(random.Random())
         self._lost = False
         self._anew = True
+        self._had_records = False
         self._reading = feed_trees.Reading.ALWAYS
         self._may_read = asyncio.Event()
         self._may_read.set()
@@ -132,6 +132,7 @@
         """
         before = self.table.next
         if start is None:
+            self._anew = False
             gone = self.table.replace(records, end)
             self._on_all(gone)
             news: Sequence[topic_tables.Record] = records
@@ -191,24 +192,40 @@
             _logger.warning("log_gap", topic=self.topic, start=start)
             self._anew = True
             return True
-        if start is None:
-            self._anew = False
         self.take(batch.records, start, batch.end)
         self.confirmed_s = batch.as_of_s
+        self._had_records = bool(batch.records)
         self.on_confirmed()
         if start is not None and batch.records:
-            await asyncio.sleep(GATHER_S)
+            # What came while the records were on their way is gathered too.
+            spent_s = asyncio.get_running_loop().time() - batch.as_of_s
+            await asyncio.sleep(max(0.0, GATHER_S - spent_s))
         return True
 
     async def _fetch(self, start: ids.Offset | None) -> ports.Batch | None:
         if start is None:
             return await self._log.newest(self.topic)
-        quiet_s = asyncio.get_running_loop().time() - self.confirmed_s
-        overdue = quiet_s > OVERDUE_WAITS * self._wait_s
-        now = overdue or self._reading is feed_trees.Reading.ONCE
-        return await self._log.read(
-            self.topic, start, 0.0 if now else self._wait_s
+        plan = log_reads.next_read(
+            self._reading,
+            self._wait_s,
+            asyncio.get_running_loop().time() - self.confirmed_s,
+            self.table.is_large,
+            self._had_records,
         )
+        if plan.skips:
+            return await self._skip(start)
+        return await self._log.read(self.topic, start, plan.wait_s)
+
+    async def _skip(self, start: ids.Offset) -> ports.Batch | None:
+        """Reads the newest records only, without those that came between."""
+        found = await self._log.position(self.topic, self.table.last_key)
+        if found.end <= start:
+            return ports.Batch([], start, found.as_of_s)
+        if found.end == start + 1:
+            return await self._log.read(self.topic, start, 0.0)
+        batch = await self._log.newest(self.topic)
+        changes = self.table.changes(batch.records, batch.end)
+        return ports.Batch(changes, batch.end, batch.as_of_s)
 
     def _note_lost(self, exc: errors.LogError) -> None:
         self._meter.count("buckthorn_log_failures", topic=self.topic)
--- a/packages/sidecar/buckthorn_sidecar/ports.py
+++ b/packages/sidecar/buckthorn_sidecar/ports.py
@@ -82,6 +82,18 @@
     as_of_s: float
 
 
+class Position(NamedTuple):
+    """Where a topic ends.
+
+    Attributes:
+        end: The offset of its next record.
+        as_of_s: When it ended there; steady time.
+    """
+
+    end: ids.Offset
+    as_of_s: float
+
+
 class KeyedLog(Protocol):
     """A topic of records with keys, of which the newest are kept for good."""
 
@@ -92,6 +104,17 @@
             errors.LogError: The log did not answer.
         """
 
+    async def position(self, topic: str, last_key: str) -> Position:
+        """Returns where a topic ends, without its records.
+
+        Args:
+            topic: The topic.
+            last_key: The last of its known keys in order.
+
+        Raises:
+            errors.LogError: The log did not answer.
+        """
+
     async def read(
         self, topic: str, start: ids.Offset, wait_s: float
     ) -> Batch | None:
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -26,6 +26,8 @@
         ready_listen: Where readiness is asked for.
         metrics_listen: Where metrics are served; empty for nowhere.
         grace_s: Time between the signal to stop and the kill, in seconds.
+        converge_s: Time within which an accepted version must be in force, in
+            seconds.
         retry_ratio: Retries that a service bears, as a share of requests.
         retry_constant: Retries that it bears besides, in a window.
         retry_window_s: Length of that window, in seconds.
@@ -43,6 +45,7 @@
     ready_listen: ids.Address
     metrics_listen: ids.Address = ids.Address("")
     grace_s: float = 6.0
+    converge_s: float = 2.5
     retry_ratio: float = 0.2
     retry_constant: float = 60.0
     retry_window_s: float = 10.0
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -334,3 +334,38 @@
     # After a restart of all, the members are known and the first is listed.
     listed = feed_trees.Known(True, False, True, 100.0)
     assert state.readings(100.5, listed) == (ALWAYS, ALWAYS)
+
+
+def test_a_daemon_that_was_just_fed_waits_for_the_first_word():
+    """Guards against all that start reading the whole configuration.
+
+    The pattern: hosts restart in turn while the configuration has 350 KB. The
+    feed's records come in several pieces, its first word behind them.
+    """
+    state = new_state()
+    state.follow(CHILD, 100.2)
+    known = feed_trees.Known(True, True, True, 100.0)
+    assert state.readings(100.4, known) == (NONE, NONE)
+    assert state.readings(102.1, known) == (ONCE, ONCE)
+    state.fed(word(0.1), 102.2)
+    assert state.readings(102.3, known) == (NONE, NONE)
+    # Something is missing here, whatever has been heard before.
+    state.distrust()
+    assert state.readings(102.4, known) == (ONCE, ONCE)
+
+
+@pytest.mark.parametrize("converge_s", [2.5, 3.0, 4.0, 6.0])
+@pytest.mark.parametrize("depth", [1, 2])
+def test_feeds_are_given_up_in_time_for_a_version(converge_s, depth):
+    """Guards against a stale feed that is trusted longer than versions have.
+
+    Also against feeds given up on slow links while there is time.
+    """
+    state = feed_trees.FeedState("d-0", converge_s)
+    state.follow(feed_trees.Place("d-1", depth), 100.0)
+    state.fed(word(0.0), 100.0)
+    read_s = 100.0 + converge_s - feed_trees.TAKEOVER_S
+    assert state.is_stale(read_s + 0.01)
+    assert not state.is_stale(100.0 + feed_trees.STALE_S - 0.01)
+    if converge_s >= 4.0:
+        assert not state.is_stale(100.0 + 0.6 * converge_s)
--- a/tests/core/test_topic_tables.py
+++ b/tests/core/test_topic_tables.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from buckthorn_core import log_reads
 from buckthorn_core import topic_tables
 
 
@@ -55,3 +56,43 @@
     table.put([record(0), record(1, "b"), record(2)], 3)
     assert [r.offset for r in table.since(2)] == [2]
     assert {r.offset for r in table.since(None)} == {1, 2}
+
+
+@hypothesis.given(
+    keys=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("abc"), strategies.booleans()
+        ),
+        max_size=12,
+    ),
+    known=strategies.integers(0, 12),
+)
+def test_newest_records_bring_the_same_table_as_all_records(keys, known):
+    """Guards against a dropped key, or a version, lost with those skipped."""
+    log = [
+        record(n, key, b"%d" % n if kept else b"")
+        for n, (key, kept) in enumerate(keys)
+    ]
+    known = min(known, len(log))
+    read, skipped = topic_tables.TopicTable(), topic_tables.TopicTable()
+    for table in (read, skipped):
+        table.put(log[:known], known)
+    read.put(log[known:], len(log))
+    newest = {r.key: r for r in log}
+    found = [r for r in newest.values() if r.value]
+    skipped.put(skipped.changes(found, len(log)), len(log))
+    for key in "abc":
+        old, new = read.get(key), skipped.get(key)
+        assert (old.value if old else b"") == (new.value if new else b"")
+    assert skipped.next == read.next
+
+
+def test_a_topic_is_large_while_one_of_its_records_is():
+    """Guards against calls to skip records that are small again."""
+    table = topic_tables.TopicTable()
+    table.put([record(0, "a", b"v" * log_reads.LARGE_BYTES)], 1)
+    table.put([record(1, "b")], 2)
+    assert table.is_large
+    assert table.last_key == "b"
+    table.put([record(2, "a")], 3)
+    assert not table.is_large
--- /dev/null
+++ b/tests/fakes/keyed_logs.py
@@ -0,0 +1,59 @@
+"""A log with keys, and a follower of it."""
+
+import asyncio
+
+from buckthorn_adapters import counters
+from buckthorn_adapters import metrics
+from buckthorn_core import ids
+from buckthorn_sidecar import following
+from buckthorn_sidecar import ports
+
+
+class Log:
+    """A log of one key that counts the records it hands out.
+
+    Attributes:
+        records: All records.
+        read_offsets: Offsets of the records that were read, in order.
+        calls: Names of the calls, in order.
+    """
+
+    def __init__(self, records):
+        self.records = records
+        self.read_offsets = []
+        self.calls = []
+
+    def _hand_out(self, records):
+        self.read_offsets.extend(r.offset for r in records)
+        now_s = asyncio.get_running_loop().time()
+        return ports.Batch(records, ids.Offset(len(self.records)), now_s)
+
+    async def newest(self, topic):
+        self.calls.append("newest")
+        return self._hand_out(self.records[-1:])
+
+    async def position(self, topic, last_key):
+        self.calls.append("position")
+        now_s = asyncio.get_running_loop().time()
+        return ports.Position(ids.Offset(len(self.records)), now_s)
+
+    async def read(self, topic, start, wait_s):
+        self.calls.append("read")
+        end_s = asyncio.get_running_loop().time() + wait_s
+        while len(self.records) <= start:
+            if asyncio.get_running_loop().time() >= end_s:
+                break
+            await asyncio.sleep(0.005)
+        return self._hand_out(self.records[start:])
+
+
+def follower_of(log, topic="versions"):
+    """Returns a follower of a topic that does nothing with its records."""
+    return following.TopicFollower(
+        log,
+        topic,
+        following.CONFIGURATION_WAIT_S,
+        lambda record: None,
+        lambda gone: None,
+        metrics.Metrics(counters.SharedControlTraffic()),
+    )
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -216,8 +216,8 @@
                     "value": base64.b64encode(value).decode(),
                     "offset": offset,
                 }
-                for key, (offset, value) in newest.items()
-                if value
+                for key, (offset, value) in sorted(newest.items())
+                if value and key > fields.get("after", "")
             ]
             end = len(self._topics[topic])
         answer = {"items": items, "hasMore": False, "end": end}
--- /dev/null
+++ b/tests/sidecar/test_feeds.py
@@ -0,0 +1,118 @@
+"""Records that a daemon gets from another one."""
+
+import asyncio
+
+from tests.fakes import keyed_logs
+
+from buckthorn_adapters import compressors
+from buckthorn_core import directories
+from buckthorn_core import feed_trees
+from buckthorn_core import ids
+from buckthorn_core import topic_tables
+from buckthorn_sidecar import feeds
+from buckthorn_sidecar import frames
+from buckthorn_sidecar import settings
+
+TOPIC = "versions"
+FEED = ids.DaemonId("d-feed")
+ADDRESS = ids.Address("127.0.0.1:1")
+
+
+class Links:
+    """Links that note what is asked of the other daemon."""
+
+    def __init__(self):
+        self.on_fed = None
+        self.subscriptions = []
+        self.unsubscribed = 0
+
+    def to(self, registration):
+        del registration
+        return self
+
+    async def subscribe(self, frame):
+        self.subscriptions.append(frame.positions)
+
+    def unsubscribe(self):
+        self.unsubscribed += 1
+
+    def close_if_silent(self, now_s):
+        del now_s
+
+
+class Server:
+    """A link server without connections."""
+
+
+def new_feed(links):
+    directory = directories.Directory()
+    directory.put(
+        directories.Registration(FEED, ADDRESS, "stock", "a1", "a", 4)
+    )
+    log = keyed_logs.Log([])
+    follower = keyed_logs.follower_of(log, TOPIC)
+    members = keyed_logs.follower_of(log, "members")
+    feed = feeds.Feed(
+        settings.Settings(
+            daemon=ids.DaemonId("d-me"),
+            site=ids.SiteName("a1"),
+            region=ids.RegionName("a"),
+            service=ids.ServiceName("stock"),
+            upstream_address=ADDRESS,
+            callers_listen=ADDRESS,
+            daemons_listen=ADDRESS,
+            control_listen=ADDRESS,
+            ready_listen=ADDRESS,
+        ),
+        follower,
+        members,
+        directory,
+        links,
+        Server(),
+        lambda: 0,
+        lambda: 0,
+        "d-me/1",
+    )
+    members.take([], None, ids.Offset(0))
+    now_s = asyncio.get_running_loop().time()
+    feed._state.follow(feed_trees.Place(FEED, 1), now_s)
+    return feed, follower
+
+
+def fed(codec, offset, value, base=None):
+    data = codec.encode(value, base.value if base else None)
+    one = frames.FedRecord(
+        "config", offset, data, base.offset if base else None
+    )
+    return frames.Records(TOPIC, offset, offset + 1, [one])
+
+
+def test_a_record_against_an_unknown_base_is_asked_for():
+    """Guards against a feed that is given up for a record read elsewhere.
+
+    The pattern: a daemon has read version 2 from the log itself before its
+    feed sends version 3, compressed against version 1.
+    """
+
+    async def run():
+        links = Links()
+        feed, follower = new_feed(links)
+        codec = compressors.ZstdDeltaCodec()
+        old, newer = (
+            topic_tables.Record("config", b"version %d" % n, ids.Offset(n))
+            for n in (1, 2)
+        )
+        follower.take([old, newer], None, ids.Offset(3))
+        links.on_fed(FEED, fed(codec, 3, b"version 3", base=old))
+        await asyncio.sleep(0.01)
+        assert links.subscriptions == [{TOPIC: 3, "members": 0}]
+        # What is on its way meanwhile does not fit either, and is passed over.
+        links.on_fed(FEED, fed(codec, 4, b"version 4", base=old))
+        links.on_fed(FEED, fed(codec, 3, b"version 3"))
+        await asyncio.sleep(0.01)
+        assert len(links.subscriptions) == 1
+        assert links.unsubscribed == 0
+        assert feed._state.parent == FEED
+        assert follower.table.get("config").value == b"version 3"
+
+    asyncio.run(run())
