Say "not run" only of tries that never came, and bound what an upstream sends

A daemon kept the outcome of a try for 6 s from its start, and dropped it even while the try ran; asked later, it answered that the request was not known, which lets a booking that runs be sent again. An answer without a request id was taken for the answer of the request that waited, also on a connection that had been used before. Heads, interim answers, chunk extensions and answers of other requests had no limit, and a kept connection that nobody reads took whatever came: with a daemon that may allocate 200 MB, headers without end killed it.

Change: outcomes stay while a try runs, and 6 s after; a dropped one is remembered by the number of its sender's try, and is answered as "may have run". Only an answer with the request's id counts. Bytes that are no body have a limit, bytes on an idle connection close it, at most 4 answers of other requests are passed over. Bodies of both directions share a budget of 0.15 of the host's memory; when it is spent, the largest that is still arriving is given up (uploads: 503, not run).

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -14,12 +14,21 @@
 
 import httptools
 
+from buckthorn_core import byte_budgets
 from buckthorn_core import errors
 from buckthorn_core import hop_headers
 from buckthorn_core import ids
 
 Headers = list[tuple[str, str]]
 
+# Bytes of an answer that are no body: heads of interim and final answers, and
+# what frames the chunks. A chunk of one byte is framed by five.
+MAX_OVERHEAD_BYTES = 65_536
+CHUNK_OVERHEAD = 8
+# When a caller may send a body again that there was no memory for, in seconds:
+# most requests have ended by then.
+BODIES_RETRY_S = 0.5
+
 _NO_BODY_STATUSES = frozenset({204, 304})
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -186,9 +195,24 @@
         on_expect: Callable[[], None],
         max_header_bytes: int,
         max_body_bytes: int,
+        on_given_up: Callable[[errors.RequestError], None],
+        bodies: byte_budgets.ByteBudget | None = None,
     ):
+        """Creates the reader.
+
+        Args:
+            on_request: Takes each complete request.
+            on_expect: Called when the peer waits to be asked for the body.
+            max_header_bytes: Most bytes of a request's head.
+            max_body_bytes: Most bytes of a request's body.
+            on_given_up: Called when the request that is being read is refused
+                since bodies take too much memory.
+            bodies: Counts the bodies that are held; None for no limit.
+        """
         self._on_request = on_request
         self._on_expect = on_expect
+        self._on_given_up = on_given_up
+        self._bodies = bodies
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
         self._parser: Any = httptools.HttpRequestParser(_RequestEvents(self))
@@ -200,6 +224,13 @@
         self.reading = False
         self.in_headers = False
 
+    @property
+    def _most_body_bytes(self) -> int:
+        """What may be sent, and can be held when nothing else is."""
+        if self._bodies is None:
+            return self.max_body_bytes
+        return min(self.max_body_bytes, self._bodies.limit)
+
     def feed(self, data: bytes) -> None:
         """Parses bytes; complete requests go to `on_request`.
 
@@ -252,7 +283,7 @@
         req.target = _text(self.url)
         req.keep_alive = self._parser.should_keep_alive()
         length = req.header("content-length")
-        if length and int(length) > self.max_body_bytes:
+        if length and int(length) > self._most_body_bytes:
             raise self._body_too_large()
         if (req.header("expect") or "").lower() == "100-continue":
             self._on_expect()
@@ -261,8 +292,27 @@
         """Takes a piece of the body."""
         self._pieces.append(piece)
         self._body_bytes += len(piece)
-        if self._body_bytes > self.max_body_bytes:
+        if self._body_bytes > self._most_body_bytes:
             raise self._body_too_large()
+        if self._bodies is None:
+            return
+        given_up = self._bodies.grow(self, len(piece))
+        for holder in given_up:
+            if holder is not self:
+                holder.give_up_body()
+        if self in given_up:
+            raise _bodies_full()
+
+    def give_up_body(self) -> None:
+        """Refuses the request that is being read."""
+        self._pieces = []
+        self._on_given_up(_bodies_full())
+
+    def close(self) -> None:
+        """Frees what is held of a request that is not complete."""
+        self._pieces = []
+        if self._bodies is not None:
+            self._bodies.release(self)
 
     def message_complete(self) -> None:
         """Hands out the request."""
@@ -270,14 +320,24 @@
         self._pieces = []
         self.reading = False
         self._header_bytes = 0
+        if self._bodies is not None:
+            self._bodies.keep(self, self._req)
         self._on_request(self._req)
 
     def _body_too_large(self) -> errors.RequestError:
         return errors.RequestError(
-            errors.Code.BODY_TOO_LARGE, f"over {self.max_body_bytes} bytes"
+            errors.Code.BODY_TOO_LARGE, f"over {self._most_body_bytes} bytes"
         )
 
 
+def _bodies_full() -> errors.RequestError:
+    return errors.RequestError(
+        errors.Code.BODIES_FULL,
+        "bodies of other requests take the memory",
+        BODIES_RETRY_S,
+    )
+
+
 def _headers_too_large(limit: int) -> errors.RequestError:
     return errors.RequestError(
         errors.Code.HEADERS_TOO_LARGE, f"over {limit} bytes"
@@ -293,8 +353,16 @@
         idle_limit_s: How long the peer keeps it idle, if it said so.
     """
 
-    def __init__(self, max_body_bytes: int):
+    def __init__(
+        self,
+        max_body_bytes: int,
+        bodies: byte_budgets.ByteBudget | None = None,
+    ):
         self._max_body_bytes = max_body_bytes
+        self._bodies = bodies
+        self._expecting = False
+        self._raw_bytes = 0
+        self._all_body_bytes = 0
         self._transport: Any = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._answer = Answer()
@@ -359,10 +427,21 @@
 
     def on_body(self, piece: bytes) -> None:
         """Takes a piece of the body."""
+        if self._ended is not None:
+            raise MalformedError(self._ended)
         self._pieces.append(piece)
         self._body_bytes += len(piece)
+        self._all_body_bytes += len(piece)
         if self._body_bytes > self._max_body_bytes:
             raise MalformedError(f"over {self._max_body_bytes} bytes")
+        if self._bodies is not None:
+            for holder in self._bodies.grow(self, len(piece)):
+                holder.give_up_body()
+
+    def give_up_body(self) -> None:
+        """Ends an answer whose body does not fit beside the others."""
+        self._end("no memory is left for the body")
+        self.close()
 
     def on_message_complete(self) -> None:
         """Keeps the answer, unless it is an interim one."""
@@ -376,7 +455,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses bytes of the peer."""
+        if self._ended is not None:
+            return
         self._got_bytes = True
+        if not self._expecting:
+            self._end("bytes came without a request")
+            self.close()
+            return
+        self._raw_bytes += len(data)
         self._heard_s = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
@@ -384,6 +470,12 @@
             self._end(f"malformed answer: {exc}")
             self.close()
             return
+        overhead = self._raw_bytes - self._all_body_bytes
+        most = MAX_OVERHEAD_BYTES + CHUNK_OVERHEAD * self._all_body_bytes
+        if overhead > most:
+            self._end(f"{overhead} bytes that are no body")
+            self.close()
+            return
         if not self._in_message:
             self._got_bytes = False
 
@@ -416,8 +508,20 @@
             head_only: Whether its answer has no body.
         """
         self._head_only = head_only
+        self._expecting = True
+        self._raw_bytes = 0
+        self._all_body_bytes = 0
         self._transport.write(data)
 
+    def rest(self) -> None:
+        """Notes that no answer is waited for any more."""
+        self._expecting = False
+        self._release()
+
+    def _release(self) -> None:
+        if self._bodies is not None:
+            self._bodies.release(self)
+
     @property
     def all_sent(self) -> bool:
         """Whether all bytes have left."""
@@ -466,12 +570,17 @@
 
     def close(self) -> None:
         """Closes the connection at once."""
+        self._release()
+        self._pieces = []
         if self._transport is not None:
             self._transport.abort()
 
 
 async def connect(
-    address: ids.Address, timeout_s: float, max_body_bytes: int
+    address: ids.Address,
+    timeout_s: float,
+    max_body_bytes: int,
+    bodies: byte_budgets.ByteBudget | None = None,
 ) -> Connection:
     """Opens a connection.
 
@@ -482,6 +591,6 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, conn = await loop.create_connection(
-            lambda: Connection(max_body_bytes), host, int(port)
+            lambda: Connection(max_body_bytes, bodies), host, int(port)
         )
     return conn
--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -17,6 +17,9 @@
     "buckthorn_bad_records": (
         "Records of the log that could not be read, by kind"
     ),
+    "buckthorn_body_bytes": (
+        "Bytes of bodies that are held, of all requests and answers"
+    ),
     "buckthorn_burn_copy_failures": (
         "Failed tries to take over the history of burn rates"
     ),
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -23,6 +23,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_OVERRUN = "body_overrun"
     BODY_CUT_SHORT = "body_cut_short"
+    BODIES_FULL = "bodies_full"
     BAD_REQUEST = "bad_request"
     HEADERS_SLOW = "headers_slow"
     UPSTREAM_FAILED = "upstream_failed"
@@ -66,6 +67,7 @@
     # Found too large only after a part of the body had been sent.
     Code.BODY_OVERRUN: Trait(413, False),
     Code.BODY_CUT_SHORT: Trait(400, False),
+    Code.BODIES_FULL: Trait(503, True),
     Code.BAD_REQUEST: Trait(400, True),
     Code.HEADERS_SLOW: Trait(408, True),
     Code.UPSTREAM_FAILED: Trait(502, False),
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -15,6 +15,7 @@
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import outcomes
 from buckthorn_core import placements
 from buckthorn_core import retry_shares
 from buckthorn_core import virtual_hosts
@@ -147,9 +148,9 @@
         self._shares = retry_shares.RetryShares(
             cfg.retry_ratio, cfg.retry_constant, cfg.retry_window_s
         )
+        sender = f"{cfg.daemon}/{self._rng.getrandbits(48):x}"
         self._attempt_ids = (
-            f"{cfg.daemon}/{self._rng.getrandbits(48):x}/{n}"
-            for n in itertools.count()
+            outcomes.attempt_id(sender, n) for n in itertools.count()
         )
         self.heard_version = 0
 
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 import uuid
 
@@ -15,10 +14,12 @@
 
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
+from buckthorn_core import byte_budgets
 from buckthorn_core import call_routes
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
+from buckthorn_core import outcomes
 from buckthorn_core import placements
 from buckthorn_core import silences
 from buckthorn_core import slot_queues
@@ -30,10 +31,6 @@
 # The upstream answers at its deadline; this is how much later a missing
 # answer is given up, in seconds.
 ANSWER_SLACK_S = 0.1
-# How long the outcome of a request can be asked for, in seconds: a silent
-# link is noticed within 1.5 s.
-OUTCOME_S = 6.0
-MAX_OUTCOMES = 8_192
 HEALTH_TIMEOUT_S = 0.3
 # When a caller may try again after a refusal that says nothing of the load, in
 # seconds: another daemon can serve it by then.
@@ -61,17 +58,18 @@
         cfg: settings.Settings,
         dialect: ports.Dialect,
         meter: metrics.Metrics,
+        bodies: byte_budgets.ByteBudget,
     ):
         self._cfg = cfg
         self._dialect = dialect
         self._meter = meter
-        self._pool = upstreams.UpstreamPool(dialect)
+        self._pool = upstreams.UpstreamPool(dialect, bodies)
         self._pool.set_address(cfg.upstream_address)
         self._started: dict[int, asyncio.Future[None]] = {}
         self._tasks: dict[str, asyncio.Task[frames.Frame]] = {}
-        self._outcomes: collections.OrderedDict[
-            str, tuple[float, asyncio.Future[frames.Frame]]
-        ] = collections.OrderedDict()
+        self._outcomes: outcomes.Outcomes[asyncio.Future[frames.Frame]] = (
+            outcomes.Outcomes()
+        )
         # Tries of requests that run and must not run a second time.
         self._committed: set[str] = set()
         self._silence = silences.Silence()
@@ -208,13 +206,17 @@
         """Runs a request; the result is an answer or a failure."""
         known = self._outcomes.get(req.attempt)
         if known is not None:
-            return known[1]
+            return known
         task = asyncio.create_task(self._run(req))
         self._tasks[req.attempt] = task
-        self._remember(req.attempt, task)
-        task.add_done_callback(lambda _: self._tasks.pop(req.attempt, None))
+        self._outcomes.begin(req.attempt, task)
+        task.add_done_callback(lambda _: self._end(req.attempt))
         return task
 
+    def _end(self, attempt: str) -> None:
+        self._tasks.pop(attempt, None)
+        self._outcomes.end(attempt, asyncio.get_running_loop().time())
+
     def ask(self, frame: frames.Ask) -> "asyncio.Future[frames.Frame]":
         """Returns the outcome of a request sent earlier.
 
@@ -223,21 +225,32 @@
         """
         known = self._outcomes.get(frame.attempt)
         if known is not None:
-            return known[1]
+            return known
         fut: asyncio.Future[frames.Frame] = (
             asyncio.get_running_loop().create_future()
         )
-        same = frame.boot == self.boot
-        exc = errors.RequestError(
-            errors.Code.PEER_UNAVAILABLE
-            if same
-            else errors.Code.UPSTREAM_FAILED,
-            "the request is not known" if same else "the daemon has restarted",
-        )
-        fut.set_result(self._failure(frame.attempt, exc, arrived=not same))
-        self._remember(frame.attempt, fut)
+        exc, arrived = self._unknown(frame)
+        fut.set_result(self._failure(frame.attempt, exc, arrived))
+        self._outcomes.begin(frame.attempt, fut)
+        self._end(frame.attempt)
         return fut
 
+    def _unknown(self, frame: frames.Ask) -> tuple[errors.RequestError, bool]:
+        """Returns the error of a try that isn't known, and if it may have run.
+
+        Only a try that never came here did certainly not run.
+        """
+        if frame.boot != self.boot:
+            reason = "the daemon has restarted"
+        elif self._outcomes.may_have_dropped(frame.attempt):
+            reason = "the outcome is not known any more"
+        else:
+            text = "the request is not known"
+            return errors.RequestError(
+                errors.Code.PEER_UNAVAILABLE, text
+            ), False
+        return errors.RequestError(errors.Code.UPSTREAM_FAILED, reason), True
+
     def cancel(self, attempt: str) -> None:
         """Ends a request whose caller has gone.
 
@@ -248,18 +261,6 @@
         if task is not None and attempt not in self._committed:
             task.cancel()
 
-    def _remember(
-        self, attempt: str, fut: "asyncio.Future[frames.Frame]"
-    ) -> None:
-        now_s = asyncio.get_running_loop().time()
-        outcomes = self._outcomes
-        outcomes[attempt] = (now_s, fut)
-        while outcomes:
-            first, (at_s, _) = next(iter(outcomes.items()))
-            if at_s > now_s - OUTCOME_S and len(outcomes) <= MAX_OUTCOMES:
-                return
-            del outcomes[first]
-
     async def _run(self, req: frames.Request) -> frames.Frame:
         arrived = False
         loop = asyncio.get_running_loop()
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -14,6 +14,7 @@
 import loguru
 
 from buckthorn_adapters import http1
+from buckthorn_core import byte_budgets
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import virtual_hosts
@@ -62,6 +63,8 @@
             self._on_expect,
             limits.max_header_bytes,
             limits.max_body_bytes,
+            self._refuse_and_close,
+            listener.bodies,
         )
         self._active_s = self._loop.time()
         self._began_s = self._active_s
@@ -83,6 +86,7 @@
         """Cancels the caller's requests."""
         del exc
         self._listener.conns.discard(self)
+        self._reader.close()
         self._cancel_all()
 
     def eof_received(self) -> bool:
@@ -119,12 +123,14 @@
 
     def _on_request(self, req: http1.Request) -> None:
         if self._closing or self._last_asked:
+            self._listener.release(req)
             return
         slot = _Slot()
         self._slots.append(slot)
         if not req.keep_alive or self._listener.draining:
             self._last_asked = True
         slot.task = self._loop.create_task(self._run(slot, req))
+        slot.task.add_done_callback(lambda _: self._listener.release(req))
         if len(self._slots) >= MAX_AHEAD:
             self._transport.pause_reading()
 
@@ -215,9 +221,22 @@
         draining: Whether connections are closed after their last answer.
     """
 
-    def __init__(self, address: ids.Address, handler: Handler):
+    def __init__(
+        self,
+        address: ids.Address,
+        handler: Handler,
+        bodies: byte_budgets.ByteBudget | None = None,
+    ):
+        """Creates the listener.
+
+        Args:
+            address: Where to listen.
+            handler: Answers requests.
+            bodies: Counts the bodies that are held; None for no limit.
+        """
         self._address = address
         self.handler = handler
+        self.bodies = bodies
         self.limits = DEFAULT_LIMITS
         self.draining = False
         self.conns: set[ListenerConnection] = set()
@@ -242,6 +261,11 @@
         )
         self._checker = asyncio.create_task(self._check())
 
+    def release(self, req: http1.Request) -> None:
+        """Notes that a request's body is not held any more."""
+        if self.bodies is not None:
+            self.bodies.release(req)
+
     def drain(self) -> None:
         """Closes each connection after the answers it waits for."""
         self.draining = True
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -32,6 +32,7 @@
         retry_constant: Retries that it bears besides, in a window.
         retry_window_s: Length of that window, in seconds.
         link_mbps: Rate of the host's link, in Mbit/s.
+        memory_mb: Memory that the process may take, in megabytes.
     """
 
     daemon: ids.DaemonId
@@ -50,3 +51,4 @@
     retry_constant: float = 60.0
     retry_window_s: float = 10.0
     link_mbps: float = 100.0
+    memory_mb: float = 200.0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -8,6 +8,7 @@
 from buckthorn_adapters import counters
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
+from buckthorn_core import byte_budgets
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -68,12 +69,13 @@
         self.meter = metrics.Metrics(counters.SharedControlTraffic())
         self.holder = virtual_hosts.VersionHolder()
         self.directory = directories.Directory()
-        self.ingress = ingress.Ingress(cfg, dialect, self.meter)
+        bodies = byte_budgets.of_memory(cfg.memory_mb)
+        self.ingress = ingress.Ingress(cfg, dialect, self.meter, bodies)
         self._egress = egress.Egress(
             cfg, dialect, self.ingress, self.holder, self.directory, self.meter
         )
         self.callers = listeners.Listener(
-            cfg.callers_listen, self._egress.handle
+            cfg.callers_listen, self._egress.handle, bodies
         )
         self._link_server = links.LinkServer(cfg.daemons_listen, self.ingress)
         self.ingress.on_gate = lambda: self._link_server.broadcast(
@@ -123,6 +125,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
         self.meter.watch("buckthorn_version", lambda: self.holder.number)
+        self.meter.watch("buckthorn_body_bytes", lambda: bodies.used)
         self.meter.watch("buckthorn_ready", lambda: int(self.ready))
 
     @property
--- a/packages/sidecar/buckthorn_sidecar/upstreams.py
+++ b/packages/sidecar/buckthorn_sidecar/upstreams.py
@@ -11,6 +11,7 @@
 import loguru
 
 from buckthorn_adapters import http1
+from buckthorn_core import byte_budgets
 from buckthorn_core import errors
 from buckthorn_core import idle_limits
 from buckthorn_core import ids
@@ -28,6 +29,9 @@
 MAX_IDLE = 64
 # Answers of both meshes have at most 30 KB.
 MAX_ANSWER_BYTES = 33_554_432
+# Answers of other requests that are passed over before the one that is waited
+# for. An instance sends one more at most; one that goes on is in trouble.
+MAX_FOREIGN = 4
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -42,8 +46,9 @@
 class UpstreamPool:
     """Connections to the upstream."""
 
-    def __init__(self, dialect: ports.Dialect):
+    def __init__(self, dialect: ports.Dialect, bodies: byte_budgets.ByteBudget):
         self._dialect = dialect
+        self._bodies = bodies
         self._idle: list[http1.Connection] = []
         self._idle_limit = idle_limits.IdleLimit()
         self._address = ids.Address("")
@@ -76,7 +81,10 @@
             conn.close()
         try:
             return await http1.connect(
-                self._address, CONNECT_TIMEOUT_S, MAX_ANSWER_BYTES
+                self._address,
+                CONNECT_TIMEOUT_S,
+                min(MAX_ANSWER_BYTES, self._bodies.limit),
+                self._bodies,
             )
         except OSError as exc:
             raise errors.RequestError(
@@ -126,6 +134,7 @@
         finally:
             if not done:
                 conn.close()
+        conn.rest()
         reusable = (
             exchange.answer.keep_alive
             and not foreign
@@ -148,17 +157,28 @@
     async def _receive(
         self, conn: http1.Connection, request_id: ids.RequestId
     ) -> tuple[Exchange, bool]:
-        """Returns the request's answer, and whether others came before it."""
-        foreign = False
+        """Returns the request's answer, and whether others came before it.
+
+        Raises:
+            errors.RequestError: What came is not known to be its answer.
+            http1.AnswerCutError: The answer is not complete.
+        """
+        foreign = 0
         while True:
             answer = await conn.receive()
             says = self._dialect.read_answer(answer)
-            if says.request_id in (None, request_id):
-                return Exchange(answer, says), foreign
-            foreign = True
+            if says.request_id == (request_id or None):
+                return Exchange(answer, says), foreign > 0
+            foreign += 1
             _logger.warning(
                 "foreign_answer", request=request_id, other=says.request_id
             )
+            # An answer without an id may belong to any request, or to none.
+            if says.request_id is None or foreign > MAX_FOREIGN:
+                raise errors.RequestError(
+                    errors.Code.UPSTREAM_FAILED,
+                    f"answers of other requests came instead ({foreign})",
+                )
 
     def _put(self, conn: http1.Connection, limit_s: float | None) -> None:
         if len(self._idle) >= MAX_IDLE:
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -7,13 +7,18 @@
 import pytest
 
 from buckthorn_adapters import http1
+from buckthorn_core import byte_budgets
 from buckthorn_core import errors
 
 
 def read(data, cuts=(), max_header_bytes=2_000, max_body_bytes=100):
     found = []
     reader = http1.RequestReader(
-        found.append, lambda: None, max_header_bytes, max_body_bytes
+        found.append,
+        lambda: None,
+        max_header_bytes,
+        max_body_bytes,
+        lambda exc: None,
     )
     start = 0
     for cut in [*sorted(cuts), len(data)]:
@@ -176,3 +181,125 @@
     _, [answer] = asyncio.run(_exchange(served, head_only=True))
     assert answer.body == b""
     assert not answer.keep_alive
+
+
+INTERIM = b"HTTP/1.1 102 Processing\r\nX-A: %s\r\n\r\n" % (50 * b"a")
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "endless"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-A: ", 1_000 * b"a"),
+        (b"HTTP/1.1 200 OK\r\n", 20 * b"X-A: bcd\r\n"),
+        (b"HTTP/1.1 200 ", 1_000 * b"a"),
+        (b"", 10 * INTERIM),
+        (CHUNKED, 1_000 * b"0"),
+        (CHUNKED + b"1;a=", 1_000 * b"b"),
+        (CHUNKED + b"0\r\n", 20 * b"X-A: bcd\r\n"),
+        (CHUNKED, b"100\r\n" + 256 * b"x" + b"\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", 1_000 * b"x"),
+    ],
+)
+def test_bytes_without_end_end_with_their_connection(first, endless):
+    """Guards against memory that an instance in trouble fills."""
+    sent = [0]
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        try:
+            while True:
+                writer.write(endless)
+                sent[0] += len(endless)
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    async def run():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        conn = await http1.connect(address, 1.0, 500_000)
+        conn.send(http1.encode_request("GET", "/", [], b""))
+        async with asyncio.timeout(5.0):
+            with pytest.raises(http1.AnswerCutError) as caught:
+                await conn.receive()
+        server.close()
+        assert not conn.clean
+        assert caught.value.started
+
+    asyncio.run(run())
+    # What was on its way when the limit was reached comes on top.
+    assert sent[0] < 20_000_000
+
+
+def test_bytes_on_an_idle_connection_close_it():
+    """Guards against a copy of an answer that the next caller receives.
+
+    Also against bytes without end on a connection that nobody reads.
+    """
+    one = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+
+    async def run():
+        more = asyncio.Event()
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(one)
+            await more.wait()
+            try:
+                while True:
+                    writer.write(one)
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+            except ConnectionError:
+                closed.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        conn = await http1.connect(address, 1.0, 1_000)
+        conn.send(http1.encode_request("GET", "/", [], b""))
+        await conn.receive()
+        conn.rest()
+        assert conn.clean
+        more.set()
+        async with asyncio.timeout(5.0):
+            await closed.wait()
+        assert not conn.clean
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_bodies_of_uploads_share_a_budget():
+    """Guards against uploads that together take the host's memory."""
+    budget = byte_budgets.ByteBudget(1_000)
+    refused, found = [], []
+
+    def reader():
+        return http1.RequestReader(
+            found.append,
+            lambda: None,
+            2_000,
+            2_000,
+            lambda exc: refused.append(exc.code),
+            budget,
+        )
+
+    head = b"PUT /d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    large, small = reader(), reader()
+    large.feed(head % 900 + 800 * b"x")
+    small.feed(head % 300 + 300 * b"x")
+    assert refused == [errors.Code.BODIES_FULL]
+    [req] = found
+    assert budget.used == 300
+    # A body that nothing can make room for is refused before it comes.
+    with pytest.raises(errors.RequestError) as caught:
+        reader().feed(head % 1_500)
+    assert caught.value.code is errors.Code.BODY_TOO_LARGE
+    with pytest.raises(errors.RequestError) as caught:
+        reader().feed(head % 900 + 800 * b"x")
+    assert caught.value.code is errors.Code.BODIES_FULL
+    budget.release(req)
+    assert budget.used == 0
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import socketserver
@@ -257,11 +258,11 @@
             status = 200 if self.healthy else 503
             call.reply(status, b"", [(PREFIX + "Instance-Id", self.instance)])
             return
+        request_id = call.headers[PREFIX + "Request-Id"]
         target = call.headers.get(PREFIX + "Target-Instance")
         if target not in (None, self.instance):
-            call.reply(421, b"")
+            call.reply(421, b"", [(PREFIX + "Request-Id", request_id)])
             return
-        request_id = call.headers[PREFIX + "Request-Id"]
         run = {
             "id": request_id,
             "method": call.command,
@@ -411,6 +412,10 @@
 
     kill = close
 
+    def limit_memory(self, size):
+        """Limits what the daemon allocates, in bytes."""
+        resource.prlimit(self._process.pid, resource.RLIMIT_DATA, (size, size))
+
     def signal(self, number):
         self._process.send_signal(number)
 
