Answer what was on its way to a daemon that stops

Cause: after its gate had closed, a stopping daemon with nothing in flight ended at once. Requests that other daemons had sent until they heard of it were lost with the connection; a booking among them got a 502, though it had not run.

Change: it stays for 0.25 s more, and refuses them as not run. The test stops a daemon behind a link of 40 ms under load; before, it found 502.

--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -29,6 +29,9 @@
 # What is left of the grace period for the end of the process, in seconds.
 EXIT_S = 0.5
 POLL_S = 0.05
+# A message between regions takes 20 ms; a lost packet is sent again after
+# 200 ms. In seconds.
+LINGER_S = 0.25
 # An acknowledgement waits this long for the record behind it, in seconds; the
 # upstream gives up after one second.
 CLOSED_WRITE_S = 0.4
@@ -167,6 +170,8 @@
         await asyncio.sleep(LAME_DUCK_S)
         self.ingress.stop_admitting()
         self.callers.stop_listening()
+        # What others sent before they heard of it still gets its answer.
+        await asyncio.sleep(LINGER_S)
         while loop.time() < end_s:
             if self.ingress.idle and not self.callers.busy:
                 break
--- /dev/null
+++ b/tests/platform/test_planned_stops.py
@@ -0,0 +1,83 @@
+"""Planned stops while requests are on their way."""
+
+import json
+import signal
+import threading
+import time
+
+import pytest
+
+from tests.platform import standins
+from tests.soak import proxies
+
+pytestmark = pytest.mark.processes
+# One way, in seconds: twice that between two regions.
+DELAY_S = 0.04
+
+
+def test_requests_on_their_way_to_a_daemon_that_stops_are_answered(
+    new_host, new_instance, cleanup, store
+):
+    """Guards against a booking whose outcome nobody knows after a stop.
+
+    The pattern: callers go on sending while the daemon beside the instance is
+    stopped. What has left for it when its gate closes must come back as not
+    run, not as lost with the connection.
+    """
+    stock, orders = new_instance("stock"), new_instance("orders")
+    links = []
+
+    def on_append(key, value):
+        if key != "h-2" or not value:
+            return value
+        said = json.loads(value)
+        if not links:
+            links.append(proxies.Proxy(said["address"]).start())
+            cleanup(links[0])
+        return json.dumps({**said, "address": links[0].address}).encode()
+
+    store.on_append = on_append
+    store.put(
+        "keyed.op",
+        "config",
+        standins.configuration(
+            3,
+            standins.path_entry(
+                "order", "/order/", "orders", kind="non_idempotent"
+            ),
+        ),
+    )
+    caller = new_host("h-1", stock)
+    stopping = new_host("h-2", orders)
+    for host, instance in ((caller, stock), (stopping, orders)):
+        standins.wait_for(lambda h=host: h.readiness() == 200)
+        assert instance.beat(host.ports["control"]) == 200
+    standins.wait_for(
+        lambda: caller.call("warm-up", "/order/1", "POST", b"x").status == 200
+    )
+    links[0].delay_s = DELAY_S
+    links[0].mode = proxies.Mode.DELAY
+    statuses, stopped = {}, threading.Event()
+
+    def send(worker):
+        number = 0
+        while not stopped.is_set():
+            number += 1
+            name = f"q-{worker}-{number}"
+            reply = caller.call(name, "/order/1", "POST", b"x")
+            statuses[name] = reply.status
+
+    threads = [
+        threading.Thread(target=send, args=(n,), daemon=True) for n in range(6)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    stopping.signal(signal.SIGTERM)
+    standins.wait_for(lambda: not stopping.running())
+    stopped.set()
+    for thread in threads:
+        thread.join(standins.WAIT_S)
+    assert set(statuses.values()) == {200, 503}
+    for name, status in statuses.items():
+        assert orders.ran(name) == (status == 200)
