Feed each availability zone through one of its daemons

Change: the first daemon of a region feeds the first of each other zone, and inside a zone daemons form a heap. Regions of at most 9 daemons are fed by their first, as before. A record now crosses to each zone about once.

--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from buckthorn_core import errors
+from buckthorn_core import feed_trees
 from buckthorn_core import ids
 
 
@@ -86,10 +87,12 @@
         """Returns the registrations of a service."""
         return self._by_service.get(service, {}).values()
 
-    def links_in(self, region: ids.RegionName) -> dict[ids.DaemonId, float]:
-        """Returns the daemons of a region, with their links in Mbit/s."""
+    def feeders_in(
+        self, region: ids.RegionName
+    ) -> dict[ids.DaemonId, feed_trees.Feeder]:
+        """Returns the daemons of a region, with their zones and links."""
         return {
-            daemon: r.link_mbps
+            daemon: feed_trees.Feeder(r.site, r.link_mbps)
             for daemon, r in self._by_daemon.items()
             if r.region == region
         }
--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -1,9 +1,10 @@
 """Whom a daemon gets the log's records from.
 
-The daemons of a region are ranked and form a heap: the first reads the log,
-and each of the others is fed by one that ranks before it. So the log's calls
-don't grow with the fleet, a version crosses the link between regions once,
-and a daemon that joins moves few others.
+The daemons of a region are ranked. The first reads the log and feeds the first
+of each other availability zone, and inside a zone the daemons form a heap: each
+is fed by one that ranks before it. So the log's calls don't grow with the
+fleet, a version crosses the link between regions once and the way to another
+zone about once a zone, and a daemon that joins moves few others.
 
 A feed is trusted while the log's own word behind it is fresh. A daemon whose
 feed is stale, dead or behind turns to another one, and soon after reads the
@@ -25,8 +26,12 @@
 from buckthorn_core import ids
 from buckthorn_core import roles
 
-# Daemons that one daemon feeds. At 3,100 daemons a region the tree is 4 deep.
+# Daemons that one daemon feeds. A region of one more is fed by its first.
 FAN_OUT = 8
+# Of these, the first daemons of other availability zones, and daemons of the
+# same zone. At 1,300 daemons a zone the tree is 6 deep.
+SITE_FAN_OUT = 5
+HEAD_FAN_OUT = FAN_OUT - SITE_FAN_OUT
 # Age of the log's word beyond which a feed is not trusted, in seconds, where
 # versions must be in force within 2.5 s; regions of such meshes have at most
 # FAN_OUT + 1 daemons.
@@ -89,7 +94,23 @@
     age_s: float
 
 
-def place_of(me: ids.DaemonId, links: Mapping[ids.DaemonId, float]) -> Place:
+class Feeder(NamedTuple):
+    """A daemon that may feed others.
+
+    Attributes:
+        site: Its availability zone.
+        link_mbps: Rate of its host's link, in Mbit/s.
+    """
+
+    site: ids.SiteName
+    link_mbps: float
+
+
+def place_of(
+    me: ids.DaemonId,
+    site: ids.SiteName,
+    feeders: Mapping[ids.DaemonId, Feeder],
+) -> Place:
     """Returns a daemon's place in the tree.
 
     Hosts with wider links rank before others: a daemon feeds several, and
@@ -97,23 +118,42 @@
 
     Args:
         me: The daemon that is fed.
-        links: The daemons of its region, with their hosts' links in Mbit/s.
+        site: Its availability zone.
+        feeders: The daemons of its region.
     """
     order = sorted(
-        links,
+        feeders,
         key=lambda daemon: (
-            int(math.log2(max(1.0, links[daemon]))),
+            int(math.log2(max(1.0, feeders[daemon].link_mbps))),
             roles.score(_KEY, daemon),
         ),
         reverse=True,
     )
-    rank = order.index(me) if me in links else len(order)
+    if len(order) <= FAN_OUT + 1:
+        return _place_in(order, me, FAN_OUT)
+    heads: dict[ids.SiteName, ids.DaemonId] = {}
+    for daemon in order:
+        heads.setdefault(feeders[daemon].site, daemon)
+    head = heads.get(site, me)
+    above = _place_in(list(heads.values()), head, HEAD_FAN_OUT)
+    if me == head:
+        return above
+    mates = [daemon for daemon in order if feeders[daemon].site == site]
+    place = _place_in(mates, me, SITE_FAN_OUT)
+    return Place(place.parent, above.depth + place.depth)
+
+
+def _place_in(
+    order: list[ids.DaemonId], me: ids.DaemonId, fan_out: int
+) -> Place:
+    """Returns a daemon's place in a heap of ranked daemons."""
+    rank = order.index(me) if me in order else len(order)
     if not rank:
         return FIRST
-    parent_rank = above = (rank - 1) // FAN_OUT
+    parent_rank = above = (rank - 1) // fan_out
     depth = 1
     while above:
-        above = (above - 1) // FAN_OUT
+        above = (above - 1) // fan_out
         depth += 1
     return Place(order[parent_rank], depth)
 
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -182,10 +182,11 @@
         seen = (self._directory.revision, resting)
         if seen != self._tree_seen:
             self._tree_seen = seen
-            members = self._directory.links_in(self._cfg.region)
+            feeders = self._directory.feeders_in(self._cfg.region)
             self._tree_place = feed_trees.place_of(
                 self._cfg.daemon,
-                {d: link for d, link in members.items() if d not in resting},
+                self._cfg.site,
+                {d: f for d, f in feeders.items() if d not in resting},
             )
         return self._tree_place
 
--- a/tests/core/test_feed_trees.py
+++ b/tests/core/test_feed_trees.py
@@ -20,12 +20,19 @@
     return feed_trees.Word("d-first", next(_numbers), age_s)
 
 
-def members(count):
-    return {f"d-{n}": 7.0 for n in range(count)}
+def members(count, sites=4):
+    return {
+        f"d-{n}": feed_trees.Feeder(f"z-{n % sites}", 7.0) for n in range(count)
+    }
+
+
+def place_of(member, everyone):
+    site = everyone[member].site if member in everyone else "z-0"
+    return feed_trees.place_of(member, site, everyone)
 
 
 def parent_of(member, everyone):
-    return feed_trees.place_of(member, everyone).parent
+    return place_of(member, everyone).parent
 
 
 @pytest.mark.parametrize("count", [1, 2, 9, 80, 3_100])
@@ -42,7 +49,30 @@
             above = parent_of(above, everyone)
             hops += 1
         assert hops <= 6
-        assert hops == feed_trees.place_of(member, everyone).depth + 1
+        assert hops == place_of(member, everyone).depth + 1
+
+
+@pytest.mark.parametrize("sites", [1, 2, 4, 21])
+@pytest.mark.parametrize("count", [12, 100, 1_000])
+def test_a_record_crosses_to_each_zone_about_once(sites, count):
+    """Guards against records that cross zones once for each daemon.
+
+    The pattern: 200 daemons start together, and each one's record goes to all
+    the others.
+    """
+    everyone = members(count, sites)
+    crossing = 0
+    for member, feeder in everyone.items():
+        above = parent_of(member, everyone)
+        if above is not None and everyone[above].site != feeder.site:
+            crossing += 1
+    assert crossing <= sites - 1
+
+
+def test_a_small_region_is_fed_by_its_first_daemon():
+    """Guards against a longer way where versions have 2.5 s."""
+    everyone = members(feed_trees.FAN_OUT + 1, 3)
+    assert {place_of(m, everyone).depth for m in everyone} == {0, 1}
 
 
 def test_exactly_one_reads_the_log():
@@ -60,7 +90,8 @@
 
 def test_hosts_with_wide_links_feed_the_others():
     """Guards against a thin link that carries a region's configuration."""
-    everyone = {**members(60), "d-wide": 140.0}
+    wide = feed_trees.Feeder("z-0", 140.0)
+    everyone = {**members(60), "d-wide": wide}
     assert parent_of("d-wide", everyone) is None
     fed = [parent_of(m, everyone) for m in members(60)]
     assert fed.count("d-wide") == feed_trees.FAN_OUT
@@ -187,6 +218,7 @@
         resting = state.resting(now_s)
         place = feed_trees.place_of(
             member,
+            self.everyone[member].site,
             {m: x for m, x in self.everyone.items() if m not in resting},
         )
         state.follow(place, now_s)
