Derive what needs no state, and keep one copy of defaults and subscribing

No behaviour changes. A byte budget without a limit takes the place of checks for none; whether the log's word was heard follows from the read it came from, and whether a topic is large from its records; the feed subscribes in one place; the defaults of two settings stand once; two tests share their busy mesh.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -196,7 +196,7 @@
         max_header_bytes: int,
         max_body_bytes: int,
         on_given_up: Callable[[errors.RequestError], None],
-        bodies: byte_budgets.ByteBudget | None = None,
+        bodies: byte_budgets.ByteBudget,
     ):
         """Creates the reader.
 
@@ -207,7 +207,7 @@
             max_body_bytes: Most bytes of a request's body.
             on_given_up: Called when the request that is being read is refused
                 since bodies take too much memory.
-            bodies: Counts the bodies that are held; None for no limit.
+            bodies: Counts the bodies that are held.
         """
         self._on_request = on_request
         self._on_expect = on_expect
@@ -227,8 +227,6 @@
     @property
     def _most_body_bytes(self) -> int:
         """What may be sent, and can be held when nothing else is."""
-        if self._bodies is None:
-            return self.max_body_bytes
         return min(self.max_body_bytes, self._bodies.limit)
 
     def feed(self, data: bytes) -> None:
@@ -294,8 +292,6 @@
         self._body_bytes += len(piece)
         if self._body_bytes > self._most_body_bytes:
             raise self._body_too_large()
-        if self._bodies is None:
-            return
         given_up = self._bodies.grow(self, len(piece))
         for holder in given_up:
             if holder is not self:
@@ -311,8 +307,7 @@
     def close(self) -> None:
         """Frees what is held of a request that is not complete."""
         self._pieces = []
-        if self._bodies is not None:
-            self._bodies.release(self)
+        self._bodies.release(self)
 
     def message_complete(self) -> None:
         """Hands out the request."""
@@ -320,8 +315,7 @@
         self._pieces = []
         self.reading = False
         self._header_bytes = 0
-        if self._bodies is not None:
-            self._bodies.keep(self, self._req)
+        self._bodies.keep(self, self._req)
         self._on_request(self._req)
 
     def _body_too_large(self) -> errors.RequestError:
@@ -353,11 +347,7 @@
         idle_limit_s: How long the peer keeps it idle, if it said so.
     """
 
-    def __init__(
-        self,
-        max_body_bytes: int,
-        bodies: byte_budgets.ByteBudget | None = None,
-    ):
+    def __init__(self, max_body_bytes: int, bodies: byte_budgets.ByteBudget):
         self._max_body_bytes = max_body_bytes
         self._bodies = bodies
         self._expecting = False
@@ -434,9 +424,8 @@
         self._all_body_bytes += len(piece)
         if self._body_bytes > self._max_body_bytes:
             raise MalformedError(f"over {self._max_body_bytes} bytes")
-        if self._bodies is not None:
-            for holder in self._bodies.grow(self, len(piece)):
-                holder.give_up_body()
+        for holder in self._bodies.grow(self, len(piece)):
+            holder.give_up_body()
 
     def give_up_body(self) -> None:
         """Ends an answer whose body does not fit beside the others."""
@@ -516,11 +505,7 @@
     def rest(self) -> None:
         """Notes that no answer is waited for any more."""
         self._expecting = False
-        self._release()
-
-    def _release(self) -> None:
-        if self._bodies is not None:
-            self._bodies.release(self)
+        self._bodies.release(self)
 
     @property
     def all_sent(self) -> bool:
@@ -570,7 +555,7 @@
 
     def close(self) -> None:
         """Closes the connection at once."""
-        self._release()
+        self._bodies.release(self)
         self._pieces = []
         if self._transport is not None:
             self._transport.abort()
@@ -584,13 +569,20 @@
 ) -> Connection:
     """Opens a connection.
 
+    Args:
+        address: Where to connect to.
+        timeout_s: The longest wait, in seconds.
+        max_body_bytes: Most bytes of an answer's body.
+        bodies: Counts the bodies that are held; None for no limit on all.
+
     Raises:
         OSError: It can't be opened, or not in time.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
+    held = bodies or byte_budgets.ByteBudget()
     async with asyncio.timeout(timeout_s):
         _, conn = await loop.create_connection(
-            lambda: Connection(max_body_bytes, bodies), host, int(port)
+            lambda: Connection(max_body_bytes, held), host, int(port)
         )
     return conn
--- a/packages/core/buckthorn_core/byte_budgets.py
+++ b/packages/core/buckthorn_core/byte_budgets.py
@@ -9,12 +9,14 @@
 not end, on a host of 200 MB, while callers of other requests are served.
 """
 
+import sys
 from typing import Protocol
 
 # Share of the host's memory that bodies may take. Each is copied up to four
 # times on its way: pieces, body, frame between daemons, bytes being written.
 MEMORY_SHARE = 0.15
 MEGABYTE = 1_048_576
+NO_LIMIT = sys.maxsize
 
 
 def of_memory(memory_mb: float) -> "ByteBudget":
@@ -37,7 +39,7 @@
         used: What they hold, in bytes.
     """
 
-    def __init__(self, limit: int):
+    def __init__(self, limit: int = NO_LIMIT):
         self.limit = limit
         self.used = 0
         self._arriving: dict[Holder, int] = {}
--- a/packages/core/buckthorn_core/feed_trees.py
+++ b/packages/core/buckthorn_core/feed_trees.py
@@ -211,7 +211,6 @@
         self._stale_s = self._near_stale_s
         # The log's last word, however it came here.
         self._word_s = -math.inf
-        self._heard = False
         # The last word of the parent, or when the last one was lost or chosen.
         self._fed_s = -math.inf
         self._rests_until_s: dict[ids.DaemonId, float] = {}
@@ -266,10 +265,14 @@
 
     def _note(self, as_of_s: float, reader: str, number: int) -> None:
         if as_of_s > self._word_s:
-            self._heard = True
             self._word_s = as_of_s
             self._source = (reader, number)
 
+    @property
+    def _has_heard(self) -> bool:
+        """Whether the log's word has come here at all; reads count from 1."""
+        return self._source[1] > 0
+
     def word(self, now_s: float) -> Word:
         """Returns the newest word, to be passed on."""
         return Word(*self._source, round(self.age_s(now_s), 3))
@@ -317,10 +320,9 @@
     def readings(self, now_s: float, known: Known) -> tuple[Reading, Reading]:
         """Returns how the members and the configuration are to be read."""
         first = self.parent is None
-        if not known.configurations:
-            # At the first start of all, nobody knows yet who is first.
-            first = first and known.listed
-        if known.configurations and self._heard:
+        # At the first start of all, nobody knows yet who is first.
+        first = first and (known.configurations or known.listed)
+        if known.configurations and self._has_heard:
             needed = self.needs_log(now_s)
         else:
             # The feed's records come before its first word, which follows
--- a/packages/core/buckthorn_core/topic_tables.py
+++ b/packages/core/buckthorn_core/topic_tables.py
@@ -31,12 +31,14 @@
     def __init__(self) -> None:
         self.next: ids.Offset | None = None
         self._by_key: dict[str, Record] = {}
-        self._large_keys: set[str] = set()
 
     @property
     def is_large(self) -> bool:
         """Whether a record is too large to be read in vain."""
-        return bool(self._large_keys)
+        return any(
+            len(record.value) >= log_reads.LARGE_BYTES
+            for record in self._by_key.values()
+        )
 
     @property
     def last_key(self) -> str:
@@ -54,17 +56,10 @@
             old = self._by_key.get(record.key)
             if old is None or record.offset > old.offset:
                 self._by_key[record.key] = record
-                self._note_size(record)
                 news.append(record)
         self.next = max(end, self.next or end)
         return news
 
-    def _note_size(self, record: Record) -> None:
-        if len(record.value) >= log_reads.LARGE_BYTES:
-            self._large_keys.add(record.key)
-        else:
-            self._large_keys.discard(record.key)
-
     def changes(
         self, newest: Iterable[Record], end: ids.Offset
     ) -> list[Record]:
@@ -95,7 +90,6 @@
         gone = self._gone(set(found), end)
         for key in gone:
             del self._by_key[key]
-            self._large_keys.discard(key)
         self.put(found.values(), end)
         return gone
 
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -197,17 +197,19 @@
         self._switch(old)
 
     def _switch(self, old: ids.DaemonId | None) -> None:
-        if self._subscribing is not None:
-            self._subscribing.cancel()
         left = self._directory.get(old) if old is not None else None
         if left is not None:
             link = self._links.to(left)
             link.unsubscribe()
             link.close_if_silent(asyncio.get_running_loop().time())
-        parent = self._state.parent
-        if parent is None:
-            return
-        self._subscribing = asyncio.create_task(self._subscribe(parent))
+        self._subscribe_to(self._state.parent)
+
+    def _subscribe_to(self, parent: ids.DaemonId | None) -> None:
+        """Asks a daemon, if any, to feed this one, and no other any more."""
+        if self._subscribing is not None:
+            self._subscribing.cancel()
+        if parent is not None:
+            self._subscribing = asyncio.create_task(self._subscribe(parent))
 
     async def _subscribe(self, parent: ids.DaemonId) -> None:
         registration = self._directory.get(parent)
@@ -256,9 +258,7 @@
             return
         self._asked_s = now_s
         _logger.info("feed_asked_again", daemon=parent, reason=why)
-        if self._subscribing is not None:
-            self._subscribing.cancel()
-        self._subscribing = asyncio.create_task(self._subscribe(parent))
+        self._subscribe_to(parent)
 
     def _decode(
         self, follower: following.TopicFollower, fed: frames.FedRecord
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -123,14 +123,16 @@
 
     def _on_request(self, req: http1.Request) -> None:
         if self._closing or self._last_asked:
-            self._listener.release(req)
+            self._listener.bodies.release(req)
             return
         slot = _Slot()
         self._slots.append(slot)
         if not req.keep_alive or self._listener.draining:
             self._last_asked = True
         slot.task = self._loop.create_task(self._run(slot, req))
-        slot.task.add_done_callback(lambda _: self._listener.release(req))
+        slot.task.add_done_callback(
+            lambda _: self._listener.bodies.release(req)
+        )
         if len(self._slots) >= MAX_AHEAD:
             self._transport.pause_reading()
 
@@ -219,6 +221,7 @@
     Attributes:
         limits: What callers may send.
         draining: Whether connections are closed after their last answer.
+        bodies: Counts the bodies that are held.
     """
 
     def __init__(
@@ -232,11 +235,11 @@
         Args:
             address: Where to listen.
             handler: Answers requests.
-            bodies: Counts the bodies that are held; None for no limit.
+            bodies: Counts the bodies that are held; None for no limit on all.
         """
         self._address = address
         self.handler = handler
-        self.bodies = bodies
+        self.bodies = bodies or byte_budgets.ByteBudget()
         self.limits = DEFAULT_LIMITS
         self.draining = False
         self.conns: set[ListenerConnection] = set()
@@ -261,11 +264,6 @@
         )
         self._checker = asyncio.create_task(self._check())
 
-    def release(self, req: http1.Request) -> None:
-        """Notes that a request's body is not held any more."""
-        if self.bodies is not None:
-            self.bodies.release(req)
-
     def drain(self) -> None:
         """Closes each connection after the answers it waits for."""
         self.draining = True
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from buckthorn_core import feed_trees
 from buckthorn_core import ids
 
 # Until the first version states limits for callers, in bytes and seconds.
@@ -9,6 +10,8 @@
 DEFAULT_MAX_BODY_BYTES = 67_108_864
 DEFAULT_HEADER_TIMEOUT_S = 3.0
 DEFAULT_IDLE_TIMEOUT_S = 15.0
+# The smallest hosts have this much, in megabytes.
+DEFAULT_MEMORY_MB = 200.0
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,9 +49,9 @@
     ready_listen: ids.Address
     metrics_listen: ids.Address = ids.Address("")
     grace_s: float = 6.0
-    converge_s: float = 2.5
+    converge_s: float = feed_trees.CONVERGE_S
     retry_ratio: float = 0.2
     retry_constant: float = 60.0
     retry_window_s: float = 10.0
     link_mbps: float = 100.0
-    memory_mb: float = 200.0
+    memory_mb: float = DEFAULT_MEMORY_MB
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -19,6 +19,7 @@
         max_header_bytes,
         max_body_bytes,
         lambda exc: None,
+        byte_budgets.ByteBudget(),
     )
     start = 0
     for cut in [*sorted(cuts), len(data)]:
--- a/tests/core/test_placements.py
+++ b/tests/core/test_placements.py
@@ -37,6 +37,15 @@
 FAR = [member("d-8", site="b1", region="b")]
 
 
+def busy_choices(found, count):
+    """Yields times and choices, 0.1 s apart, while all but d-1 are busy."""
+    for n in range(count):
+        now_s = 10.0 + 0.1 * n
+        for m in (NEAR[0], NEAR[2]):
+            found.report(m, load(18, 5), now_s)
+        yield now_s, choose(found, NEAR, now_s=now_s)
+
+
 def test_a_calm_site_serves_its_own_requests():
     """Guards against bytes between sites that nobody needs."""
     loads = {m.daemon: load(3) for m in NEAR + FAR}
@@ -170,11 +179,7 @@
     found = placed(*NEAR)
     found.unreachable(NEAR[1], 10.0)
     probes = []
-    for n in range(600):
-        now_s = 10.0 + 0.1 * n
-        for m in (NEAR[0], NEAR[2]):
-            found.report(m, load(18, 5), now_s)
-        choice = choose(found, NEAR, now_s=now_s)
+    for now_s, choice in busy_choices(found, 600):
         assert choice.to != NEAR[1]
         if NEAR[1] in choice.ask:
             probes.append(now_s)
@@ -244,11 +249,7 @@
     """
     found = placed(*NEAR, loads={"d-1": load(0, slots=0)})
     asked = []
-    for n in range(100):
-        now_s = 10.0 + 0.1 * n
-        for m in (NEAR[0], NEAR[2]):
-            found.report(m, load(18, 5), now_s)
-        choice = choose(found, NEAR, now_s=now_s)
+    for now_s, choice in busy_choices(found, 100):
         if NEAR[1] in choice.ask:
             asked.append(now_s)
             opened = now_s >= 15.0
