Log the limit that an upstream states, and count the requests it gets

The daemon beside the upstream now reads Server-Limit (only platform/ knows the header's name), logs upstream_limited with the recent rate and upstream_limit_ended with the requests sent meanwhile, and exposes both as metrics. Nothing acts on the limit yet. EventRate moves out of slot_queues for a second use.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -60,5 +60,12 @@
     "buckthorn_retries": "Further tries of callers' requests, by service",
     "buckthorn_status_query_failures": ("Failed queries of the fleet's status"),
     "buckthorn_summary_failures": "Failed summaries to other regions",
+    "buckthorn_upstream_limit": (
+        "Requests per second that the upstream beside this daemon takes from"
+        " all hosts together; +Inf while it states no limit"
+    ),
+    "buckthorn_upstream_requests": (
+        "Requests sent to the upstream beside this daemon"
+    ),
     "buckthorn_version": "Number of the configuration version in force",
 }
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -12,10 +12,10 @@
 further one delays all requests behind it without raising the throughput.
 """
 
-import math
 from typing import NamedTuple
 
 from buckthorn_core import errors
+from buckthorn_core import event_rates
 from buckthorn_core import ids
 
 # Average run time assumed before any request has run, in seconds. The requests
@@ -34,8 +34,6 @@
 # times vary by a third: with a share of 1, half of the requests that wait that
 # long would be late. A caller that is refused early can still retry in time.
 WAIT_SHARE = 0.3
-# Time constant of the average arrival rate, in seconds.
-ARRIVAL_RATE_TIME_CONSTANT_S = 2.0
 # Upper limit of the share of slots expected to go to more urgent requests.
 MAX_URGENT_SHARE = 0.9
 # Longest wait of a late request, as a share of its target. Its answer is worth
@@ -116,27 +114,6 @@
             self.add(value)
 
 
-class _Rate:
-    """Arrivals per second, averaged with exponential decay."""
-
-    __slots__ = ("_per_second", "_updated_s")
-
-    def __init__(self) -> None:
-        self._updated_s = 0.0
-        self._per_second = 0.0
-
-    def add(self, now_s: float) -> None:
-        self._per_second = (
-            self.per_second(now_s) + 1 / ARRIVAL_RATE_TIME_CONSTANT_S
-        )
-        self._updated_s = now_s
-
-    def per_second(self, now_s: float) -> float:
-        return self._per_second * math.exp(
-            (self._updated_s - now_s) / ARRIVAL_RATE_TIME_CONSTANT_S
-        )
-
-
 class SlotQueue:
     """Assigns the slots of one upstream and orders the waiting requests.
 
@@ -153,7 +130,7 @@
         self._last_number = 0
         self._run_s: dict[ids.RouteName, _Average] = {}
         self._mean = _Average(INITIAL_RUN_S)
-        self._rates: dict[int, _Rate] = {}
+        self._rates: dict[int, event_rates.EventRate] = {}
 
     def reset(self, slots: int, warming: bool) -> None:
         """Discards the run times of the previous lifetime."""
@@ -204,7 +181,9 @@
             errors.RequestError: The request is refused.
         """
         self._last_number += 1
-        self._rates.setdefault(request.priority, _Rate()).add(now_s)
+        self._rates.setdefault(request.priority, event_rates.EventRate()).add(
+            now_s
+        )
         ticket = self._make_ticket(now_s, request)
         if len(self._running) < self.slots and not self._waiting:
             if now_s + ANSWER_TRANSIT_S > request.finish_by_s:
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -23,6 +23,7 @@
 from buckthorn_core import lifetimes
 from buckthorn_core import load_balancing
 from buckthorn_core import slot_queues
+from buckthorn_core import stated_limits
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import interfaces
 from buckthorn_sidecar import settings
@@ -47,6 +48,7 @@
 
     Attributes:
         queue: The upstream's slots and the requests that wait for them.
+        limit: The request limit that the upstream states.
         lifetimes: The upstream's current lifetime and state.
         version: The configuration version in force, for load reports.
         boot_id: Unique id of this process, prefixed with the daemon's id.
@@ -82,6 +84,7 @@
         self.version = 0
         self.boot_id = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
         self.queue = slot_queues.SlotQueue()
+        self.limit = stated_limits.StatedLimit()
         self.lifetimes = lifetimes.LifetimeTracker()
 
     @property
@@ -288,11 +291,14 @@
                 self._non_cancellable.add(req.attempt)
             started_s = loop.time()
             self._circuit_breaker.on_started(req.attempt, started_s)
+            self.limit.on_request(started_s)
+            self._meter.count("buckthorn_upstream_requests")
             async with asyncio.timeout_at(deadline_s + RESPONSE_SLACK_S):
                 exchange = await self._pool.exchange(
                     conn, req.method, data, req.request_id
                 )
             responded = True
+            self._apply_limit(exchange.metadata.limit_per_s)
             status = exchange.response.status
             # On 504 the upstream itself aborted the run.
             aborted = status == _GATEWAY_TIMEOUT
@@ -330,6 +336,23 @@
                 self.queue.release(ticket, ran_s, aborted)
                 self._start_queued()
 
+    def _apply_limit(self, limit_per_s: float | None) -> None:
+        """Applies the limit that a response of the upstream states."""
+        now_s = asyncio.get_running_loop().time()
+        change = self.limit.on_response(now_s, limit_per_s)
+        if change is stated_limits.LimitChange.STATED:
+            _logger.info(
+                "upstream_limited",
+                limit_per_s=limit_per_s,
+                rate_per_s=round(self.limit.rate_per_s(now_s), 1),
+            )
+        elif change is stated_limits.LimitChange.ENDED:
+            _logger.info(
+                "upstream_limit_ended",
+                seconds=round(now_s - self.limit.since_s, 1),
+                requests=self.limit.requests,
+            )
+
     def _rejection_reason(self) -> str | None:
         if self._stopping:
             return "this daemon is stopping"
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -35,6 +35,9 @@
         signed: Whether it carries the upstream's signature header.
         idle_limit_s: Idle timeout of the connection, in seconds; None if not
             stated.
+        limit_per_s: Requests per second that the upstream takes from all
+            daemons together; None if it states no limit.
+        leaving: Whether the upstream states that it is leaving.
     """
 
     request_id: ids.RequestId | None
@@ -42,6 +45,8 @@
     wrong_instance: bool
     signed: bool
     idle_limit_s: float | None
+    limit_per_s: float | None
+    leaving: bool
 
 
 class MeshHeaders(Protocol):
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -1,6 +1,7 @@
 """Assembles a sidecar and controls its start, drain and stop."""
 
 import asyncio
+import math
 from typing import NamedTuple
 
 import loguru
@@ -154,6 +155,14 @@
             "buckthorn_body_bytes", lambda: body_budget.used
         )
         self.meter.register_gauge("buckthorn_ready", lambda: int(self.ready))
+        self.meter.register_gauge(
+            "buckthorn_upstream_limit",
+            lambda: (
+                math.inf
+                if self.ingress.limit.per_s is None
+                else self.ingress.limit.per_s
+            ),
+        )
 
     @property
     def ready(self) -> bool:
