Keep within the request limit that an upstream states

Cause: nothing read the limit.

Change: all requests for an upstream pass the daemon beside it, so that daemon paces them (generic cell rate algorithm) and the sum over all senders holds without messages between them. Waiting and refusal follow the slot queue's order: by urgency, then by the caller's deadline; less urgent requests leave two requests of the burst to urgent ones. A refused caller gets SLOTS_FULL, not run, with the time of the next free place in Retry-After, also when that is after its deadline. Load reports carry the delay and the limit. Senders keep the limit and send it along, so a restarted daemon knows it before the upstream's first response.

--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -119,7 +119,11 @@
         return Change.NEW_LIFETIME
 
     def end(
-        self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
+        self,
+        instance: ids.InstanceId,
+        born_ms: int | None,
+        now_ms: int,
+        state: UpstreamState = UpstreamState.GONE,
     ) -> Change:
         """Ends a lifetime.
 
@@ -130,11 +134,15 @@
             now_ms: Time in ms since the epoch. For an instance that is not
                 the current one, an end without a start time ends all
                 lifetimes that started before now.
+            state: State of the lifetime from now on: GONE, or DRAINING if the
+                upstream still answers.
         """
         old = self.current
         is_current = old is not None and old.instance == instance
         if old is not None and is_current:
-            ended_ms = old.born_ms if born_ms is None else born_ms
+            # The start of a lifetime inferred from a health check is unknown.
+            known_ms = old.born_ms if old.born_ms >= 0 else now_ms
+            ended_ms = known_ms if born_ms is None else born_ms
         else:
             ended_ms = now_ms if born_ms is None else born_ms
         self._ended[instance] = max(ended_ms, self._ended.get(instance, -1))
@@ -142,11 +150,25 @@
             del self._ended[next(iter(self._ended))]
         if old is None or not is_current or old.born_ms > ended_ms:
             return Change.NOTHING
-        if self.state is UpstreamState.GONE:
+        if self.state in (UpstreamState.GONE, state):
             return Change.NOTHING
-        self.state = UpstreamState.GONE
+        self.state = state
         return Change.CLOSED
 
+    def last_start_ms(self, instance: ids.InstanceId) -> int:
+        """Returns when an instance's last known lifetime started at the latest.
+
+        Args:
+            instance: Id of the instance.
+
+        Returns:
+            Time in ms since the epoch; -1 if unknown.
+        """
+        current = self.current
+        is_current = current is not None and current.instance == instance
+        born_ms = current.born_ms if current and is_current else -1
+        return max(born_ms, self._ended.get(instance, -1))
+
 
 def _is_later(announcement: Announcement, old: Announcement) -> bool:
     return announcement.born_ms > old.born_ms
--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -29,6 +29,7 @@
 from buckthorn_core import directories
 from buckthorn_core import ids
 from buckthorn_core import slot_queues
+from buckthorn_core import stated_limits
 
 # Round-trip times in seconds, as stated for both meshes.
 SITE_TRIP_S = 0.0005
@@ -84,21 +85,33 @@
         running: Number of requests in slots.
         waiting: Number of requests in the queue.
         run_s: Average run time in seconds.
+        start_delay_s: How long the upstream's limit delays the start of a
+            further request, in seconds.
+        notice: What the upstream has stated about itself; None if it takes
+            requests without a limit, or nothing is known.
     """
 
     slots: int
     running: int
     waiting: int
     run_s: float
+    start_delay_s: float = 0.0
+    notice: stated_limits.UpstreamNotice | None = None
 
 
 class UpstreamStatus:
-    """What this daemon knows about the upstream of another daemon."""
+    """What this daemon knows about the upstream of another daemon.
+
+    Attributes:
+        notice: What the upstream has last stated about itself. It outlasts
+            reports of a restarted daemon that doesn't know it yet.
+    """
 
     __slots__ = (
         "avoid_until_s",
         "failure_rate",
         "load",
+        "notice",
         "probe_at_s",
         "probe_interval_s",
         "reachable",
@@ -108,6 +121,7 @@
 
     def __init__(self, slots: int):
         self.load = LoadReport(slots, 0, 0, slot_queues.INITIAL_RUN_S)
+        self.notice: stated_limits.UpstreamNotice | None = None
         self.reported_s = float("-inf")
         self.sent_since_report = 0
         self.avoid_until_s = float("-inf")
@@ -165,9 +179,17 @@
         registration: directories.Registration,
         load: LoadReport,
         now_s: float,
+        with_response: bool = False,
     ) -> bool:
         """Stores a daemon's load report.
 
+        Args:
+            registration: The daemon.
+            load: The report.
+            now_s: Monotonic time in seconds.
+            with_response: Whether it came with a response of the upstream.
+                Only then does a report without a notice end an earlier one.
+
         Returns:
             Whether the daemon was unreachable before.
         """
@@ -176,6 +198,8 @@
         if status.is_routable and load.slots == 0:
             status.probe_at_s = now_s + status.probe_interval_s
         status.load = load
+        if load.notice is not None or with_response:
+            status.notice = load.notice
         status.reported_s = now_s
         status.sent_since_report = 0
         status.reachable = True
@@ -326,6 +350,7 @@
             self._is_available(registration, now_s)
             and self._is_fresh(registration, now_s)
             and busy < MAX_REMOTE_LOAD_SHARE * load.slots
+            and _limit_delay_s(status, now_s) <= 0
         )
 
     def _score(
@@ -343,7 +368,10 @@
         )
         slots = max(1, load.slots)
         run_s = max(load.run_s, slot_queues.MIN_RETRY_AFTER_S)
-        queue_s = max(0, busy + 1 - slots) * run_s / slots
+        queue_s = max(
+            max(0, busy + 1 - slots) * run_s / slots,
+            _limit_delay_s(status, now_s),
+        )
         # Instances get slower as their slots fill up, and reports lag behind.
         contention_s = run_s * 0.5 * min(1.0, busy / slots) ** 2
         round_trip_s, crossing = self._distance(registration)
@@ -373,6 +401,15 @@
         return SITE_TRIP_S, 0.0
 
 
+def _limit_delay_s(status: UpstreamStatus, now_s: float) -> float:
+    """Returns how long an upstream's limit delays a request, in seconds."""
+    load = status.load
+    if load.notice is None:
+        return 0.0
+    sent_s = status.sent_since_report * load.notice.interval_s
+    return max(0.0, load.start_delay_s + sent_s - (now_s - status.reported_s))
+
+
 def late_risk(total_s: float, left_s: float) -> float:
     """Returns the probability that an answer comes too late.
 
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -8,6 +8,10 @@
 start in time behind those ahead of it, and refused later only if more urgent
 requests arrive and delay it too much.
 
+An upstream that states a request limit gets no more requests than that, even if
+slots are free. Requests then wait for their turn, or are refused, in the same
+order.
+
 The queue is kept short. A few waiting requests keep the slots busy; each
 further one delays all requests behind it without raising the throughput.
 """
@@ -17,6 +21,7 @@
 from buckthorn_core import errors
 from buckthorn_core import event_rates
 from buckthorn_core import ids
+from buckthorn_core import stated_limits
 
 # Average run time assumed before any request has run, in seconds. The requests
 # of both meshes take 20 to 300 ms.
@@ -36,6 +41,11 @@
 WAIT_SHARE = 0.3
 # Upper limit of the share of slots expected to go to more urgent requests.
 MAX_URGENT_SHARE = 0.9
+# Requests that less urgent ones leave unused in a limit's burst for more urgent
+# ones, and the share of more urgent requests from which on they do: at a limit
+# near one request a second, the first to come would otherwise be served.
+RESERVED_REQUESTS = 2
+MIN_URGENT_SHARE = 0.02
 # Longest wait of a late request, as a share of its target. Its answer is worth
 # little, and it must not wait for long only to be refused.
 LATE_WAIT_SHARE = 0.25
@@ -120,11 +130,13 @@
     Attributes:
         slots: Number of requests that the upstream runs concurrently.
         warming: Whether the upstream reports that it warms up.
+        limit: The request limit that the upstream states.
     """
 
     def __init__(self, slots: int = 0):
         self.slots = slots
         self.warming = False
+        self.limit = stated_limits.StatedLimit()
         self._running: set[int] = set()
         self._waiting: list[Ticket] = []
         self._last_number = 0
@@ -133,8 +145,9 @@
         self._rates: dict[int, event_rates.EventRate] = {}
 
     def reset(self, slots: int, warming: bool) -> None:
-        """Discards the run times of the previous lifetime."""
+        """Discards the run times and the limit of the previous lifetime."""
         self.slots = slots
+        self.limit = stated_limits.StatedLimit()
         self.warming = warming
         self._run_s.clear()
         self._mean = _Average(INITIAL_RUN_S * self._warmup_factor)
@@ -185,16 +198,37 @@
             now_s
         )
         ticket = self._make_ticket(now_s, request)
-        if len(self._running) < self.slots and not self._waiting:
+        if not self._waiting and self._can_start(now_s, ticket):
             if now_s + ANSWER_TRANSIT_S > request.finish_by_s:
                 raise self._refusal(0.0, "no time is left")
-            self._running.add(ticket.number)
+            self._start(now_s, ticket)
             return ticket, []
         self._check_wait(now_s, ticket)
         self._waiting.append(ticket)
         self._waiting.sort(key=lambda t: t.sort_key)
         return ticket, self._evict(now_s)
 
+    def _can_start(self, now_s: float, ticket: Ticket) -> bool:
+        return (
+            len(self._running) < self.slots
+            and self._limit_delay_s(now_s, ticket, 0) <= 0
+        )
+
+    def _start(self, now_s: float, ticket: Ticket) -> None:
+        self._running.add(ticket.number)
+        self.limit.on_request(now_s)
+
+    def _limit_delay_s(
+        self, now_s: float, ticket: Ticket, requests_ahead: int
+    ) -> float:
+        """Returns how long the limit delays a request, in seconds."""
+        if self.limit.per_s is None:
+            return 0.0
+        reserved = 0
+        if self._urgent_share(now_s, ticket) > MIN_URGENT_SHARE:
+            reserved = RESERVED_REQUESTS
+        return self.limit.delay_s(now_s, requests_ahead + reserved)
+
     def _make_ticket(self, now_s: float, request: SlotRequest) -> Ticket:
         total_s = self.run_s(request) + ANSWER_TRANSIT_S
         start_by_s = min(request.target_at_s, request.finish_by_s) - total_s
@@ -249,12 +283,22 @@
         """
         refused = self._evict(now_s)
         started = []
-        while self._waiting and len(self._running) < self.slots:
+        while self._waiting and self._can_start(now_s, self._waiting[0]):
             ticket = self._waiting.pop(0)
-            self._running.add(ticket.number)
+            self._start(now_s, ticket)
             started.append(ticket)
         return started, refused
 
+    def next_start_delay_s(self, now_s: float) -> float | None:
+        """Returns when the limit lets a waiting request start, in seconds.
+
+        Returns:
+            The delay; None if no request waits or all slots are taken.
+        """
+        if not self._waiting or len(self._running) >= self.slots:
+            return None
+        return self._limit_delay_s(now_s, self._waiting[0], 0)
+
     def refuse_all(self) -> list[Ticket]:
         """Empties the queue and returns its tickets, which must be refused."""
         refused, self._waiting = self._waiting, []
@@ -266,33 +310,41 @@
         excess = len(self._running) + requests_ahead - self.slots + 1
         return max(0, excess) * self._mean.value / slots
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, now_s: float) -> float:
         """Returns the expected wait of one more request, within the limits."""
-        wait_s = self.wait_s(len(self._waiting))
+        wait_s = max(
+            self.wait_s(len(self._waiting)),
+            self.limit.retry_after_s(now_s, len(self._waiting)),
+        )
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
     def _check_wait(self, now_s: float, ticket: Ticket) -> None:
         requests_ahead = sum(
             1 for t in self._waiting if t.sort_key < ticket.sort_key
         )
-        wait_s = self.wait_s(requests_ahead) / (
-            1 - self._urgent_share(now_s, ticket)
-        )
+        wait_s = max(
+            self.wait_s(requests_ahead),
+            self._limit_delay_s(now_s, ticket, requests_ahead),
+        ) / (1 - self._urgent_share(now_s, ticket))
         if wait_s > WAIT_SHARE * (ticket.start_by_s - now_s):
+            limit = self.limit.per_s
             raise self._refusal(
-                self.retry_after_s(),
+                self.retry_after_s(now_s),
                 f"{self.running} run, {self.waiting} wait,"
-                f" {requests_ahead} go first",
+                f" {requests_ahead} go first"
+                + ("" if limit is None else f", limit {limit:g}/s"),
             )
 
     def _urgent_share(self, now_s: float, ticket: Ticket) -> float:
-        """Returns the expected share of slots for more urgent requests."""
+        """Returns the expected share of capacity for more urgent requests."""
         per_second = sum(
             rate.per_second(now_s)
             for priority, rate in self._rates.items()
             if priority < ticket.request.priority
         )
-        share = per_second * self._mean.value / max(1, self.slots)
+        share = per_second * max(
+            self._mean.value / max(1, self.slots), self.limit.interval_s
+        )
         return min(MAX_URGENT_SHARE, share)
 
     def _evict(self, now_s: float) -> list[Ticket]:
@@ -301,7 +353,10 @@
         refused = []
         for ticket in self._waiting:
             # The first in the queue starts with the next free slot.
-            wait_s = self.wait_s(len(kept) - 1)
+            wait_s = max(
+                self.wait_s(len(kept) - 1),
+                self._limit_delay_s(now_s, ticket, len(kept)),
+            )
             if now_s + wait_s > ticket.start_by_s:
                 refused.append(ticket)
             else:
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import itertools
+import math
 import random
 from typing import NamedTuple
 
@@ -98,6 +99,9 @@
             not yet used.
         region_full: Whether an upstream of this region refused the request
             because all its slots were taken.
+        limited: Whether an upstream's limit kept the request from running.
+        room_after_s: When the first of the full upstreams expects to have room,
+            in seconds after its refusal.
         tried_daemons: Daemons that are not chosen again.
         attempts: The attempts so far, for the log.
     """
@@ -128,9 +132,21 @@
         self.failed_attempts = failed_attempts.FailedAttempts()
         self.retry_reserved = False
         self.region_full = False
+        self.limited = False
+        self.room_after_s = math.inf
         self.tried_daemons: set[ids.DaemonId] = set()
         self.attempts: list[Attempt] = []
 
+    def add_refusal(self, result: frames.Failure) -> None:
+        """Records when an upstream without room expects to have some."""
+        if result.code is not errors.Code.SLOTS_FULL:
+            return
+        notice = result.load.notice
+        self.limited |= notice is not None and notice.limit_per_s is not None
+        self.room_after_s = min(
+            self.room_after_s, result.retry_after_s or RETRY_AFTER_S
+        )
+
 
 class Egress:
     """Sends callers' requests to the daemons beside the upstreams.
@@ -188,7 +204,8 @@
         frame: frames.LoadFrame,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        if self._load_balancer.on_report(to, frame.load, now_s):
+        with_response = isinstance(frame, frames.Response)
+        if self._load_balancer.on_report(to, frame.load, now_s, with_response):
             _logger.info("daemon_reachable", daemon=to.daemon)
         self.newest_peer_version = max(self.newest_peer_version, frame.version)
 
@@ -308,6 +325,7 @@
                 ctx.arrivals += result.arrived
                 ctx.failed_attempts.add(_to_error(result))
                 ctx.region_full |= self._is_full_in_region(to, result)
+                ctx.add_refusal(result)
                 refused = result
                 refusals += 1
                 if not self._should_retry_failure(ctx, result, refusals):
@@ -464,6 +482,7 @@
             req.target,
             http1.end_to_end(req.headers),
             req.body,
+            self._load_balancer.status_of(to).notice,
         )
         if to.daemon == self._cfg.daemon:
             return await self._send_local(frame)
@@ -561,9 +580,14 @@
         if ctx.failed_attempts.final_error(exc) is not exc:
             # An earlier attempt may have run on an upstream.
             return errors.RequestError(errors.Code.UPSTREAM_FAILED, exc.message)
-        exc.retry_after_s = self._retry_after_s(
-            ctx, result.retry_after_s or RETRY_AFTER_S
-        )
+        if ctx.limited:
+            # A limit may leave no room until after the caller's deadline; the
+            # caller is told so, rather than to come back in vain.
+            exc.retry_after_s = max(MIN_RETRY_AFTER_S, ctx.room_after_s)
+        else:
+            exc.retry_after_s = self._retry_after_s(
+                ctx, result.retry_after_s or RETRY_AFTER_S
+            )
         return exc
 
     def _retry_after_s(self, ctx: RequestContext, base_delay_s: float) -> float:
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -11,6 +11,7 @@
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
 from buckthorn_core import load_balancing
+from buckthorn_core import stated_limits
 
 # Fits a body at the default limit for callers, with its headers.
 MAX_FRAME_BYTES = 70_000_000
@@ -39,6 +40,8 @@
         path: Path and query.
         headers: End-to-end headers.
         body: The request body.
+        notice: What the upstream last stated to the sender about itself; None
+            if there is nothing to keep to.
     """
 
     attempt: str
@@ -56,6 +59,7 @@
     path: str
     headers: Headers
     body: bytes
+    notice: stated_limits.UpstreamNotice | None = None
 
 
 class Cancel(msgspec.Struct, tag="c", array_like=True, frozen=True):
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -48,7 +48,6 @@
 
     Attributes:
         queue: The upstream's slots and the requests that wait for them.
-        limit: The request limit that the upstream states.
         lifetimes: The upstream's current lifetime and state.
         version: The configuration version in force, for load reports.
         boot_id: Unique id of this process, prefixed with the daemon's id.
@@ -80,11 +79,13 @@
         self._stopping = False
         # Whether admission was closed at the last on_admission_change call.
         self._reported_closed = False
+        # Whether this process has a response of the current lifetime.
+        self._has_response = False
+        self._start_timer: asyncio.TimerHandle | None = None
         self.on_admission_change: Callable[[], None] = lambda: None
         self.version = 0
         self.boot_id = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
         self.queue = slot_queues.SlotQueue()
-        self.limit = stated_limits.StatedLimit()
         self.lifetimes = lifetimes.LifetimeTracker()
 
     @property
@@ -99,6 +100,8 @@
 
     def close(self) -> None:
         """Cancels all requests and closes the idle connections."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
         for task in self._tasks.values():
             task.cancel()
         self._pool.close()
@@ -111,11 +114,29 @@
 
     def load(self) -> load_balancing.LoadReport:
         """Returns the upstream's load; without slots if admission is closed."""
+        now_s = asyncio.get_running_loop().time()
+        queue = self.queue
         return load_balancing.LoadReport(
-            0 if self._is_closed() else self.queue.slots,
-            self.queue.running,
-            self.queue.waiting,
-            round(self.queue.mean_run_s, 3),
+            0 if self._is_closed() else queue.slots,
+            queue.running,
+            queue.waiting,
+            round(queue.mean_run_s, 3),
+            round(queue.limit.delay_s(now_s, queue.waiting), 3),
+            self._notice(),
+        )
+
+    def _notice(self) -> stated_limits.UpstreamNotice | None:
+        """Returns what the upstream has stated that others must keep to."""
+        current = self.lifetimes.current
+        leaving = not self.lifetimes.accepts_requests
+        limit_per_s = self.queue.limit.per_s
+        if current is None or not (leaving or limit_per_s is not None):
+            return None
+        return stated_limits.UpstreamNotice(
+            current.instance,
+            self.lifetimes.last_start_ms(current.instance),
+            limit_per_s,
+            leaving,
         )
 
     def _is_closed(self) -> bool:
@@ -152,7 +173,12 @@
             if not assumed:
                 self._pool.set_address(announcement.address)
             self._circuit_breaker.reset()
+            limit = self.queue.limit
             self.queue.reset(announcement.slots, announcement.warmup_left_s > 0)
+            if assumed:
+                self.queue.limit = limit
+            else:
+                self._has_response = False
             _logger.info(
                 "upstream_lifetime",
                 instance=announcement.instance,
@@ -185,12 +211,13 @@
             path: Path of the health check.
             slots: Number of concurrent requests to assume for the upstream.
         """
-        instance = None
+        health = upstream_pools.Health(None, None)
         try:
             async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
-                instance = await self._pool.check_health(path)
+                health = await self._pool.check_health(path)
         except (TimeoutError, errors.RequestError) as exc:
             _logger.info("upstream_health_unknown", error=str(exc))
+        instance = health.instance
         if instance is None:
             return
         address = self._cfg.upstream_address
@@ -198,6 +225,7 @@
         if change is lifetimes.Change.NEW_LIFETIME:
             _logger.info("upstream_assumed", instance=instance, slots=slots)
             self.queue.slots = slots
+            self._apply_limit(health.limit_per_s)
 
     def _on_lifetime_change(self, change: lifetimes.Change) -> None:
         if change is lifetimes.Change.CLOSED:
@@ -217,6 +245,8 @@
         known = self._outcomes.get(req.attempt)
         if known is not None:
             return known
+        if req.notice is not None:
+            self._apply_notice(req.notice)
         task = asyncio.create_task(self._run(req))
         self._tasks[req.attempt] = task
         self._outcomes.begin(req.attempt, task)
@@ -287,18 +317,18 @@
             ticket = await self._admit(req, deadline_s)
             conn, data = await self._prepare(req, deadline_s)
             arrived = True
+            lifetime = self.lifetimes.current
             if not req.idempotent:
                 self._non_cancellable.add(req.attempt)
             started_s = loop.time()
             self._circuit_breaker.on_started(req.attempt, started_s)
-            self.limit.on_request(started_s)
             self._meter.count("buckthorn_upstream_requests")
             async with asyncio.timeout_at(deadline_s + RESPONSE_SLACK_S):
                 exchange = await self._pool.exchange(
                     conn, req.method, data, req.request_id
                 )
             responded = True
-            self._apply_limit(exchange.metadata.limit_per_s)
+            self._apply_statements(lifetime, exchange.metadata)
             status = exchange.response.status
             # On 504 the upstream itself aborted the run.
             aborted = status == _GATEWAY_TIMEOUT
@@ -336,22 +366,58 @@
                 self.queue.release(ticket, ran_s, aborted)
                 self._start_queued()
 
+    def _apply_statements(
+        self,
+        lifetime: lifetimes.Announcement | None,
+        metadata: interfaces.ResponseMetadata,
+    ) -> None:
+        """Applies what a response states about the upstream.
+
+        Args:
+            lifetime: The lifetime that the request was sent to.
+            metadata: Metadata of the response.
+        """
+        current = self.lifetimes.current
+        if lifetime is None or current is None or metadata.wrong_instance:
+            return
+        if lifetime.instance == current.instance:
+            self._has_response = True
+            self._apply_limit(metadata.limit_per_s)
+
+    def _apply_notice(self, notice: stated_limits.UpstreamNotice) -> None:
+        """Applies what another daemon learned about the upstream before.
+
+        This process may have started since then. What it has learned itself
+        is newer.
+        """
+        current = self.lifetimes.current
+        if (
+            current is not None
+            and current.instance == notice.instance
+            and (current.born_ms == notice.born_ms or current.born_ms < 0)
+            and not self._has_response
+            and self.queue.limit.per_s is None
+        ):
+            self._apply_limit(notice.limit_per_s)
+
     def _apply_limit(self, limit_per_s: float | None) -> None:
-        """Applies the limit that a response of the upstream states."""
+        """Applies a limit that the upstream has stated; None if it is over."""
         now_s = asyncio.get_running_loop().time()
-        change = self.limit.on_response(now_s, limit_per_s)
+        limit = self.queue.limit
+        change = limit.on_response(now_s, limit_per_s)
         if change is stated_limits.LimitChange.STATED:
             _logger.info(
                 "upstream_limited",
                 limit_per_s=limit_per_s,
-                rate_per_s=round(self.limit.rate_per_s(now_s), 1),
+                rate_per_s=round(limit.rate_per_s(now_s), 1),
             )
         elif change is stated_limits.LimitChange.ENDED:
             _logger.info(
                 "upstream_limit_ended",
-                seconds=round(now_s - self.limit.since_s, 1),
-                requests=self.limit.requests,
+                seconds=round(now_s - limit.since_s, 1),
+                requests=limit.requests,
             )
+            self._start_queued()
 
     def _rejection_reason(self) -> str | None:
         if self._stopping:
@@ -403,14 +469,15 @@
             raise errors.RequestError(
                 errors.Code.SLOTS_FULL,
                 "work that goes first leaves no time",
-                self.queue.retry_after_s(),
+                self._retry_after_s(),
             )
         fut = asyncio.get_running_loop().create_future()
         self._admissions[ticket.number] = fut
+        self._schedule_start()
         admitted = False
         try:
-            # The queue is only re-evaluated when a run ends, so the wait
-            # needs a timeout of its own.
+            # The queue is only re-evaluated when a run ends or the limit admits
+            # a request, so the wait needs a timeout of its own.
             async with asyncio.timeout_at(ticket.start_by_s):
                 await fut
             admitted = True
@@ -418,7 +485,7 @@
             raise errors.RequestError(
                 errors.Code.SLOTS_FULL,
                 "no slot was free in time",
-                self.queue.retry_after_s(),
+                self._retry_after_s(),
             ) from exc
         finally:
             self._admissions.pop(ticket.number, None)
@@ -436,6 +503,9 @@
             _logger.info("route_judged", route=req.route, calls=is_call)
         return is_call
 
+    def _retry_after_s(self) -> float:
+        return self.queue.retry_after_s(asyncio.get_running_loop().time())
+
     def _start_queued(self) -> None:
         now_s = asyncio.get_running_loop().time()
         started, refused = self.queue.start_queued(now_s)
@@ -447,6 +517,17 @@
                 self.queue.release(ticket)
         for ticket in refused:
             self._refuse(ticket, errors.Code.SLOTS_FULL)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Sets the timer for the next start that the limit delays."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+        loop = asyncio.get_running_loop()
+        delay_s = self.queue.next_start_delay_s(loop.time())
+        if delay_s is not None:
+            self._start_timer = loop.call_later(delay_s, self._start_queued)
 
     def _refuse(self, ticket: slot_queues.Ticket, code: errors.Code) -> None:
         fut = self._admissions.get(ticket.number)
@@ -455,7 +536,7 @@
                 errors.RequestError(
                     code,
                     "refused while it waited for a slot",
-                    self.queue.retry_after_s(),
+                    self._retry_after_s(),
                 )
             )
 
@@ -521,7 +602,7 @@
             raise errors.RequestError(
                 errors.Code.UPSTREAM_SHED,
                 f"the upstream answered {response.status}, not run",
-                self.queue.retry_after_s(),
+                self._retry_after_s(),
             )
         if 200 <= response.status < 300 and not metadata.signed:
             raise errors.RequestError(
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -159,8 +159,8 @@
             "buckthorn_upstream_limit",
             lambda: (
                 math.inf
-                if self.ingress.limit.per_s is None
-                else self.ingress.limit.per_s
+                if self.ingress.queue.limit.per_s is None
+                else self.ingress.queue.limit.per_s
             ),
         )
 
--- a/packages/sidecar/buckthorn_sidecar/upstream_pools.py
+++ b/packages/sidecar/buckthorn_sidecar/upstream_pools.py
@@ -43,6 +43,18 @@
     metadata: interfaces.ResponseMetadata
 
 
+class Health(NamedTuple):
+    """Result of a health check.
+
+    Attributes:
+        instance: Id of the instance if it is healthy, else None.
+        limit_per_s: The request limit that it states; None without a limit.
+    """
+
+    instance: ids.InstanceId | None
+    limit_per_s: float | None
+
+
 class UpstreamPool:
     """A pool of connections to the upstream."""
 
@@ -100,8 +112,8 @@
                 CONNECT_TIMEOUT_S,
             ) from exc
 
-    async def check_health(self, path: str) -> ids.InstanceId | None:
-        """Returns the instance id of a healthy upstream, or None.
+    async def check_health(self, path: str) -> Health:
+        """Returns what the upstream's health check says.
 
         Raises:
             errors.RequestError: There was no response.
@@ -109,7 +121,10 @@
         conn = await self.acquire()
         data = http1.encode_request("GET", path, [("Host", self._address)], b"")
         exchange = await self.exchange(conn, "GET", data, ids.RequestId(""))
-        return self._mesh_headers.read_health(exchange.response)
+        return Health(
+            self._mesh_headers.read_health(exchange.response),
+            exchange.metadata.limit_per_s,
+        )
 
     async def exchange(
         self,
