Send no work to an upstream whose responses say that it leaves

What upstreams saw: requests went on for as long as an instance that names Server-Leaving in its responses kept announcing itself as ready, and again after a restart of the daemon beside it while the store was down.

Cause: leaving was learned from announcements only, and outlived a restart only in the daemon's record at the store.

Change: a response that says so closes the lifetime that the request was sent to, and the record is written; a later acknowledgement of the instance's announcement waits for that write. A lifetime inferred from a health check that ends without a stated start no longer opens again with its next announcement.

--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 import uuid
 
 import loguru
@@ -52,6 +53,8 @@
         version: The configuration version in force, for load reports.
         boot_id: Unique id of this process, prefixed with the daemon's id.
         on_admission_change: Called when admission opens or closes.
+        on_upstream_closed: Called when the upstream is leaving according to
+            its responses or another daemon.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         self._has_response = False
         self._start_timer: asyncio.TimerHandle | None = None
         self.on_admission_change: Callable[[], None] = lambda: None
+        self.on_upstream_closed: Callable[[], None] = lambda: None
         self.version = 0
         self.boot_id = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
         self.queue = slot_queues.SlotQueue()
@@ -380,6 +384,8 @@
         current = self.lifetimes.current
         if lifetime is None or current is None or metadata.wrong_instance:
             return
+        if metadata.leaving:
+            self._close_lifetime(lifetime.instance, lifetime.born_ms)
         if lifetime.instance == current.instance:
             self._has_response = True
             self._apply_limit(metadata.limit_per_s)
@@ -388,8 +394,11 @@
         """Applies what another daemon learned about the upstream before.
 
         This process may have started since then. What it has learned itself
-        is newer.
+        about a limit is newer; leaving is final.
         """
+        if notice.leaving:
+            self._close_lifetime(notice.instance, notice.born_ms)
+            return
         current = self.lifetimes.current
         if (
             current is not None
@@ -400,6 +409,18 @@
         ):
             self._apply_limit(notice.limit_per_s)
 
+    def _close_lifetime(self, instance: ids.InstanceId, born_ms: int) -> None:
+        """Closes admission for a lifetime that is leaving but still answers."""
+        change = self.lifetimes.end(
+            instance,
+            born_ms if born_ms >= 0 else None,
+            int(time.time() * 1000),
+            lifetimes.UpstreamState.DRAINING,
+        )
+        if change is lifetimes.Change.CLOSED:
+            self._on_lifetime_change(change)
+            self.on_upstream_closed()
+
     def _apply_limit(self, limit_per_s: float | None) -> None:
         """Applies a limit that the upstream has stated; None if it is over."""
         now_s = asyncio.get_running_loop().time()
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -105,6 +105,7 @@
         self.ingress.on_admission_change = lambda: self._link_server.broadcast(
             self.ingress.pong()
         )
+        self.ingress.on_upstream_closed = self._on_upstream_closed
         self._member_applier = topic_followers.MemberApplier(
             cfg.daemon, self.directory, self._egress.remove, self.meter
         )
@@ -147,6 +148,7 @@
         )
         self._member_applier.on_local_record = self._on_local_record
         self._tasks: list[asyncio.Task[None]] = []
+        self._closing_writes: set[asyncio.Task[None]] = set()
         self._stopping = False
         self.meter.register_gauge(
             "buckthorn_version", lambda: self.holder.number
@@ -220,7 +222,7 @@
 
     def close(self) -> None:
         """Stops immediately, without waiting for requests in flight."""
-        for task in self._tasks:
+        for task in (*self._tasks, *self._closing_writes):
             task.cancel()
         self._feed.close()
         self._registrar.close()
@@ -243,6 +245,7 @@
             return
         change = self.ingress.announce(announcement)
         await self._register(announcement.slots, change)
+        await self._await_closing_writes()
 
     async def leave(
         self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
@@ -250,6 +253,20 @@
         """Handles the announcement of an upstream that it is leaving."""
         change = self.ingress.leave(instance, born_ms, now_ms)
         await self._register(self.ingress.queue.slots, change)
+        await self._await_closing_writes()
+
+    def _on_upstream_closed(self) -> None:
+        """Records that the current lifetime of the upstream is leaving."""
+        task = asyncio.create_task(
+            self._register(self.ingress.queue.slots, lifetimes.Change.CLOSED)
+        )
+        self._closing_writes.add(task)
+        task.add_done_callback(self._closing_writes.discard)
+
+    async def _await_closing_writes(self) -> None:
+        """Waits until a closing that a response caused is recorded, too."""
+        if self._closing_writes:
+            await asyncio.wait(self._closing_writes)
 
     async def _register(self, slots: int, change: lifetimes.Change) -> None:
         """Updates this daemon's registration.
@@ -265,7 +282,8 @@
         closed_born_ms = old.closed_born_ms if old is not None else 0
         closing = change is lifetimes.Change.CLOSED and current is not None
         if closing and current is not None:
-            closed, closed_born_ms = current.instance, current.born_ms
+            closed = current.instance
+            closed_born_ms = self.ingress.lifetimes.last_start_ms(closed)
         self._registrar.set_desired(
             directories.Registration(
                 cfg.daemon,
