Weigh the ways to keep an upstream's limit, with an experiment

Tests of the load balancer and of lifetimes cover limits in load reports, notices, and lifetimes that were inferred.

--- a/packages/standins/buckthorn_standins/experiment.py
+++ b/packages/standins/buckthorn_standins/experiment.py
@@ -32,6 +32,7 @@
     "member_costs",
     "operation_costs",
     "mesh_load",
+    "limit_ways",
 )
 
 
--- a/tests/core/test_lifetimes.py
+++ b/tests/core/test_lifetimes.py
@@ -105,3 +105,32 @@
     assert closed.infer_from_health("i-1", 18, "a:1") is Change.NOTHING
     known = track(announcement(1, DRAINING))
     assert known.infer_from_health("i-1", 18, "a:1") is Change.NOTHING
+
+
+@pytest.mark.parametrize("state", [DRAINING, GONE])
+def test_an_inferred_lifetime_that_ends_stays_closed(state):
+    """Guards against the late announcement of an upstream that has left.
+
+    The daemon has started beside it and knows it from a health check only, so
+    the start of the lifetime is not known when it ends.
+    """
+    tracker = lifetimes.LifetimeTracker()
+    tracker.infer_from_health("i-1", 18, "a:1")
+    assert tracker.end("i-1", None, 5_000, state) is Change.CLOSED
+    assert tracker.apply_announcement(announcement(7)) is Change.NOTHING
+    assert tracker.state is state
+    assert tracker.last_start_ms("i-1") == 5_000
+    reborn = announcement(1, born_ms=6_000)
+    assert tracker.apply_announcement(reborn) is Change.NEW_LIFETIME
+    assert tracker.accepts_requests
+
+
+def test_an_upstream_that_leaves_twice_is_closed_once():
+    """Guards against a second closing by the announcement of the first."""
+    tracker = track(announcement(1))
+    assert tracker.end("i-1", 1_000, 0, DRAINING) is Change.CLOSED
+    assert tracker.end("i-1", 1_000, 0, DRAINING) is Change.NOTHING
+    assert tracker.apply_announcement(announcement(2)) is Change.NOTHING
+    assert tracker.state is DRAINING
+    assert tracker.end("i-1", 1_000, 0) is Change.CLOSED
+    assert tracker.state is GONE
--- a/tests/core/test_load_balancing.py
+++ b/tests/core/test_load_balancing.py
@@ -9,6 +9,7 @@
 from buckthorn_core import directories
 from buckthorn_core import load_balancing
 from buckthorn_core import load_balancing as placements
+from buckthorn_core import stated_limits
 
 ORIGIN = load_balancing.Origin("d-0", "a1", "a")
 
@@ -300,3 +301,58 @@
         for _ in range(500)
     }
     assert "d-2" not in later
+
+
+def limited_load(per_s, start_delay_s=0.0, leaving=False):
+    notice = stated_limits.UpstreamNotice("i-1", 1_000, per_s, leaving)
+    return load_balancing.LoadReport(18, 2, 0, 0.2, start_delay_s, notice)
+
+
+def test_an_upstream_at_its_limit_is_passed_over():
+    """Guards against refused attempts at an upstream with free slots."""
+    loads = {
+        "d-0": limited_load(2.0, 0.4),
+        "d-1": limited_load(2.0, 0.4),
+        "d-2": load(9),
+    }
+    found = placed(*NEAR, loads=loads)
+    assert choose(found, NEAR).to.daemon == "d-2"
+    # The limit has room again before the next report.
+    assert choose(found, NEAR, now_s=10.5).to.site == "a1"
+
+
+def test_requests_since_the_last_report_count_towards_a_limit():
+    """Guards against a burst at a limited upstream between two reports."""
+    members = [member("d-1"), member("d-2")]
+    loads = {"d-1": limited_load(5.0), "d-2": load(14)}
+    found = placed(*members, loads=loads)
+    sent = collections.Counter()
+    for _ in range(20):
+        to = choose(found, members).to
+        found.on_sent(to)
+        sent[to.daemon] += 1
+    assert 1 <= sent["d-1"] <= 3
+
+
+def test_another_region_is_not_used_beyond_its_limit():
+    """Guards against paid crossings that are refused at the other end."""
+    loads = {m.daemon: load(18, 30) for m in NEAR}
+    found = placed(*NEAR, *FAR, loads=loads)
+    found.on_report(FAR[0], limited_load(2.0, 0.3), 10.0)
+    assert choose(found, NEAR + FAR).to.daemon != "d-8"
+    found.on_report(FAR[0], limited_load(2.0), 10.0)
+    assert choose(found, NEAR + FAR).to.daemon == "d-8"
+
+
+def test_a_notice_outlasts_reports_that_know_nothing():
+    """Guards against a limit that is forgotten when a daemon restarts.
+
+    The first report of its new process has no notice; only a response of the
+    upstream shows that the limit has ended.
+    """
+    found = placed(*NEAR)
+    found.on_report(NEAR[1], limited_load(2.0), 10.0, with_response=True)
+    found.on_report(NEAR[1], load(0), 10.1)
+    assert found.status_of(NEAR[1]).notice.limit_per_s == 2.0
+    found.on_report(NEAR[1], load(0), 10.2, with_response=True)
+    assert found.status_of(NEAR[1]).notice is None
