Add limits and leaving by response to the fault soak

Two more faults: an instance states a limit for 8 s, or says only in its responses that it leaves. The soak checks the users' bounds for both, beside kills, freezes, cuts and outages of the store that overlap.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -240,6 +240,7 @@
         disconnected_ids: Ids of requests whose connection was closed while
             they ran.
         healthy: Whether its health check passes.
+        headers: Further headers of all its answers.
     """
 
     def __init__(self, service, port=0, instance="i-1", born_ms=1_000):
@@ -254,6 +255,7 @@
         self.unblocked.set()
         self.disconnected_ids = []
         self.healthy = True
+        self.headers = []
         self.connections = set()
 
     def handle(self, call):
@@ -309,6 +311,7 @@
             [
                 (PREFIX + "Request-Id", request_id or run["id"]),
                 (PREFIX + "Response-Signature", f"proof-{run['id']}"),
+                *self.headers,
             ],
         )
 
--- a/tests/platform/test_upstream_limits.py
+++ b/tests/platform/test_upstream_limits.py
@@ -16,31 +16,14 @@
 DRAIN_S = 2.5
 
 
-class Responder:
-    """Answers an instance's requests with headers that a test sets.
+def answer_after(instance, run_s):
+    """Lets each request of an instance run for some time, in seconds."""
 
-    Attributes:
-        headers: Further headers of all responses.
-        run_s: How long a request runs, in seconds.
-    """
+    def respond(call, run):
+        time.sleep(run_s)
+        instance.answer(call, run)
 
-    def __init__(self, instance):
-        self.headers = []
-        self.run_s = 0.02
-        instance.respond = self.respond
-
-    def respond(self, call, run):
-        time.sleep(self.run_s)
-        prefix = standins.PREFIX
-        call.reply(
-            200,
-            b"done",
-            [
-                (prefix + "Request-Id", run["id"]),
-                (prefix + "Response-Signature", f"proof-{run['id']}"),
-                *self.headers,
-            ],
-        )
+    instance.respond = respond
 
 
 class Load:
@@ -105,14 +88,14 @@
         assert instance.heartbeat(host.ports["control"]) == 200
     for host in hosts:
         standins.wait_for(lambda h=host: h.call("warm-up").status == 200)
+    answer_after(instances[1], 0.02)
     return hosts, instances[1]
 
 
 def test_all_senders_together_keep_within_an_upstreams_limit(pair, cleanup):
     """Guards against requests beyond the limit that an upstream states."""
     hosts, instance = pair
-    responder = Responder(instance)
-    responder.headers = [("Server-Limit", "8.0")]
+    instance.headers = [("Server-Limit", "8.0")]
     load = Load(hosts).start()
     cleanup(load)
     start_s = time.monotonic() + STABILITY_S
@@ -135,14 +118,13 @@
     callers have passed on responses with the limit.
     """
     hosts, instance = pair
-    responder = Responder(instance)
-    responder.headers = [("Server-Limit", "4")]
+    instance.headers = [("Server-Limit", "4")]
     load = Load(hosts[:1], callers=8).start()
     cleanup(load)
     time.sleep(STABILITY_S)
     start_s = time.monotonic()
     # A run takes so long that all slots are taken before the first response.
-    responder.run_s = 0.4
+    answer_after(instance, 0.4)
     for _ in range(3):
         hosts[1].kill()
         hosts[1].start()
@@ -158,12 +140,11 @@
 def test_requests_are_served_at_once_when_a_limit_ends(pair, cleanup):
     """Guards against a limit that outlasts the upstream's need."""
     hosts, instance = pair
-    responder = Responder(instance)
-    responder.headers = [("Server-Limit", "1")]
+    instance.headers = [("Server-Limit", "1")]
     load = Load(hosts[:1]).start()
     cleanup(load)
     time.sleep(1.0)
-    responder.headers = []
+    instance.headers = []
     standins.wait_for(lambda: hosts[1].events("upstream_limit_ended"))
     count = len(instance.runs)
     standins.wait_for(lambda: len(instance.runs) >= count + 50)
@@ -175,11 +156,10 @@
     It goes on announcing itself as ready.
     """
     hosts, instance = pair
-    responder = Responder(instance)
     load = Load(hosts).start()
     cleanup(load)
     time.sleep(0.3)
-    responder.headers = [("Server-Leaving", "1")]
+    instance.headers = [("Server-Leaving", "1")]
     left_s = time.monotonic() + DRAIN_S
     time.sleep(1.0)
     assert instance.heartbeat(hosts[1].ports["control"]) == 200
@@ -197,12 +177,11 @@
     daemon can learn it only from others.
     """
     hosts, instance = pair
-    responder = Responder(instance)
     load = Load(hosts[:1]).start()
     cleanup(load)
     time.sleep(0.3)
     store.down = True
-    responder.headers = [("Server-Leaving", "1")]
+    instance.headers = [("Server-Leaving", "1")]
     left_s = time.monotonic() + DRAIN_S
     time.sleep(0.5)
     hosts[1].kill()
--- a/tests/soak/meshes.py
+++ b/tests/soak/meshes.py
@@ -15,7 +15,14 @@
 EXTRA_FAULTS = 4
 RECOVERY_S = 15.0
 DRAIN_S = 2.5
+# A limit applies STABILITY_S after it is first stated; in WINDOW_S an instance
+# may then get one and a half times its limit and SLACK requests more.
+STABILITY_S = 3.0
+LIMITED_S = 8.0
+WINDOW_S = 4.0
+SLACK = 5
 NOT_RUN = (408, 421, 429, 503)
+LEAVING = [("Server-Leaving", "1")]
 KINDS = {
     "browse": ("/browse/1", "GET"),
     "book": ("/book/1", "POST"),
@@ -25,13 +32,49 @@
 EXTRA = standins.path_entry("extra", "/extra/")
 
 
+class Limit:
+    """A limit that an instance states, from one time to another."""
+
+    def __init__(self, instance, per_s, since_s):
+        self.instance = instance
+        self.per_s = per_s
+        self.since_s = since_s
+        self.until_s = since_s + LIMITED_S
+        self._headers = [("Server-Limit", str(per_s))]
+        instance.headers = self._headers
+
+    def is_stated(self):
+        """Returns whether the instance still states it."""
+        return self.instance.headers is self._headers
+
+    def end(self, now_s):
+        """Ends the limit."""
+        self.until_s = min(self.until_s, now_s)
+        self.instance.headers = []
+
+    def excess(self):
+        """Returns the most requests beyond the limit in one window."""
+        times_s = [
+            run["at_s"]
+            for run in list(self.instance.runs)
+            if self.since_s + STABILITY_S <= run["at_s"] < self.until_s
+        ]
+        most = max(
+            (sum(t <= u < t + WINDOW_S for u in times_s) for t in times_s),
+            default=0,
+        )
+        return most - (1.5 * WINDOW_S * self.per_s + SLACK)
+
+
 class Mesh:
     """Three hosts; links between daemons run through proxies.
 
     Attributes:
         replies: By request id: its kind and the reply, or None if there was
             none.
-        drained: Acknowledged ends of lifetimes: instance, its id, the time.
+        drained: Ends of lifetimes that a daemon knows of: instance, its id,
+            the time.
+        limits: Limits that instances stated.
     """
 
     def __init__(self, folder, seed):
@@ -47,6 +90,7 @@
         self.number = itertools.count(2)
         self.replies = {}
         self.drained = []
+        self.limits = []
         # Lifetimes that drain, with the time at which the next one starts.
         self._draining = {}
         self._born_ms = itertools.count(10_000)
@@ -121,6 +165,7 @@
 
     def _heal(self):
         standins.wait_for(lambda: not self._draining)
+        standins.wait_for(lambda: not any(i.headers for i in self.instances))
         self.store.down = False
         for proxy in self.proxies.values():
             proxy.mode = proxies.Mode.PASS
@@ -137,18 +182,31 @@
                     self._beat_one(host, instance)
 
     def _beat_one(self, host, instance):
+        now_s = time.monotonic()
+        for limit in self.limits:
+            if limit.is_stated() and now_s >= limit.until_s:
+                limit.end(now_s)
         until_s = self._draining.get(instance.service + instance.address)
         if until_s is None:
             self._say(host, instance, "ready")
-        elif time.monotonic() < until_s:
-            self._say(host, instance, "draining")
+        elif now_s < until_s:
+            leaving = instance.headers == LEAVING
+            self._say(host, instance, "ready" if leaving else "draining")
         else:
             del self._draining[instance.service + instance.address]
+            self.end_statements(instance)
             instance.born_ms = next(self._born_ms)
             instance.instance = f"i-{instance.born_ms}"
             instance.sequence = 0
             self._say(host, instance, "ready")
 
+    def end_statements(self, instance):
+        """Ends what an instance states in its responses."""
+        for limit in self.limits:
+            if limit.instance is instance and limit.is_stated():
+                limit.end(time.monotonic())
+        instance.headers = []
+
     def _say(self, host, instance, state):
         try:
             return instance.heartbeat(host.ports["control"], state)
@@ -204,6 +262,12 @@
                 found.append(f"{request_id} got another answer")
             if status == 404:
                 found.append(f"{request_id} ({kind}) got 404")
+        for limit in self.limits:
+            if limit.excess() > 0:
+                found.append(
+                    f"{limit.instance.address} got {limit.excess():g} requests"
+                    f" beyond its limit of {limit.per_s} a second"
+                )
         for instance, name, at_s in self.drained:
             late = [
                 run["id"]
@@ -298,3 +362,34 @@
         now_s = time.monotonic()
         mesh.drained.append((instance, instance.instance, now_s))
         mesh._draining[key] = now_s + DRAIN_S + 1.0
+
+
+@fault
+def state_limit(mesh):
+    """Lets an instance state a limit for some seconds."""
+    instance = mesh.rng.choice(mesh.instances)
+    with mesh._lock:
+        if not instance.headers:
+            per_s = mesh.rng.choice((0.5, 1.0, 2.0, 5.0))
+            mesh.limits.append(Limit(instance, per_s, time.monotonic()))
+
+
+@fault
+def leave_by_response(mesh):
+    """Lets an instance's responses, and nothing else, say that it leaves."""
+    instance = mesh.rng.choice(mesh.instances)
+    with mesh._lock:
+        key = instance.service + instance.address
+        if key in mesh._draining or not instance.runs:
+            return
+        mesh.end_statements(instance)
+        count = len(instance.runs)
+        instance.headers = LEAVING
+        name = instance.instance
+        mesh._draining[key] = time.monotonic() + DRAIN_S + 3.0
+    # Later than its run time after the next request has come.
+    end_s = time.monotonic() + 1.0
+    while len(instance.runs) <= count and time.monotonic() < end_s:
+        time.sleep(0.02)
+    if len(instance.runs) > count:
+        mesh.drained.append((instance, name, time.monotonic() + 0.2))
