Keep a closed lifetime in the record of the daemon beside it

Cause: each announcement wrote the record anew with the closed lifetime taken from the directory, which has it only once the record was written and read back. An announcement before that, with the store away or the feed behind, dropped the closing, and the next process opened the lifetime by its health check.

Change: the daemon keeps the closed lifetime itself, and takes it over from the record that an earlier process wrote. The new test failed before this change, and passes.

--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -149,6 +149,11 @@
         self._member_applier.on_local_record = self._on_local_record
         self._tasks: list[asyncio.Task[None]] = []
         self._closing_writes: set[asyncio.Task[None]] = set()
+        # The lifetime that was closed last. The directory has it only once the
+        # record has been written and read.
+        self._closed = ids.InstanceId("")
+        self._closed_born_ms = 0
+        self._announced_slots: int | None = None
         self._stopping = False
         self.meter.register_gauge(
             "buckthorn_version", lambda: self.holder.number
@@ -275,15 +280,20 @@
         the write: after the acknowledgement the daemon's next process must
         keep that lifetime closed too.
         """
-        cfg = self._cfg
-        old = self.directory.get(cfg.daemon)
         current = self.ingress.lifetimes.current
-        closed = old.closed if old is not None else ids.InstanceId("")
-        closed_born_ms = old.closed_born_ms if old is not None else 0
         closing = change is lifetimes.Change.CLOSED and current is not None
         if closing and current is not None:
-            closed = current.instance
-            closed_born_ms = self.ingress.lifetimes.last_start_ms(closed)
+            self._closed = current.instance
+            self._closed_born_ms = self.ingress.lifetimes.last_start_ms(
+                current.instance
+            )
+        self._announced_slots = slots
+        self._update_record(slots)
+        if closing and not await self._registrar.flush(CLOSING_WRITE_TIMEOUT_S):
+            _logger.warning("closing_not_written", instance=self._closed)
+
+    def _update_record(self, slots: int) -> None:
+        cfg = self._cfg
         self._registrar.set_desired(
             directories.Registration(
                 cfg.daemon,
@@ -293,16 +303,20 @@
                 cfg.region,
                 slots,
                 cfg.link_mbps,
-                closed,
-                closed_born_ms,
+                self._closed,
+                self._closed_born_ms,
             )
         )
-        if closing and not await self._registrar.flush(CLOSING_WRITE_TIMEOUT_S):
-            _logger.warning("closing_not_written", instance=closed)
 
     def _on_local_record(self) -> None:
         local_record = self.directory.get(self._cfg.daemon)
         if local_record is not None and local_record.closed:
+            if not self._closed:
+                # Recorded by an earlier process.
+                self._closed = local_record.closed
+                self._closed_born_ms = local_record.closed_born_ms
+                if self._announced_slots is not None:
+                    self._update_record(self._announced_slots)
             self.ingress.leave(
                 local_record.closed, local_record.closed_born_ms, 0
             )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -171,6 +171,33 @@
     assert instance.runs == []
 
 
+def test_a_closing_is_recorded_when_the_store_is_back(host, instance, store):
+    """Guards against a closing that the next announcement drops.
+
+    The store is down when the instance drains, and the instance announces
+    itself again before the record is written.
+    """
+    control = host.ports["control"]
+    store.down = True
+    assert instance.heartbeat(control, "draining") == 200
+    assert instance.heartbeat(control, "draining", sequence=90) == 200
+    store.down = False
+    standins.wait_for(
+        lambda: any(
+            b'"i-1"' in value
+            for topic in list(store._topics)
+            for value in store.newest(topic).values()
+        )
+    )
+    host.kill()
+    host.start()
+    standins.wait_for(lambda: host.readiness() == 200)
+    assert instance.heartbeat(control, "ready", sequence=1) == 200
+    time.sleep(0.5)
+    assert host.call("q-1").status == 503
+    assert instance.runs == []
+
+
 def test_a_restarted_daemon_serves_before_the_next_heartbeat(host, instance):
     """Guards against seconds without service after each restart."""
     host.kill()
