Find a link dead that loses requests while feed records arrive

Cause: a connection between daemons can be silent in one direction. Feed records that came the other way counted as signs of life, so the link was neither pinged nor closed.

Change: only frames that answer, or parts of a frame, count for requests in flight. The new test failed before.

--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -43,6 +43,7 @@
 _logger = loguru.logger.bind(module=__name__)
 
 
+_FEED_FRAMES = (frames.Records, frames.Confirm)
 LoadReportCallback = Callable[
     [directories.Registration, frames.LoadFrame], None
 ]
@@ -92,6 +93,8 @@
         boot_id: Future of the peer process's boot id, set by its first frame.
         last_received_s: When data was last received, in seconds on the event
             loop's monotonic clock.
+        last_reply_s: The same without records of a feed, which come unasked:
+            they don't show that the other direction still works.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         self.transport: Any = None
         self.boot_id: asyncio.Future[str] = self._loop.create_future()
         self.last_received_s = self._loop.time()
+        self.last_reply_s = self.last_received_s
 
     def connection_made(self, transport: Any) -> None:
         """Stores the transport and sets the socket options."""
@@ -117,13 +121,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Dispatches each complete frame."""
-        self.last_received_s = self._loop.time()
         try:
             found = self._reader.feed(data)
         except errors.PeerError as exc:
             _logger.warning("bad_frame", error=str(exc))
             self.transport.abort()
             return
+        self.last_received_s = self._loop.time()
+        if not found or not all(isinstance(f, _FEED_FRAMES) for f in found):
+            self.last_reply_s = self.last_received_s
         for frame in found:
             self._on_frame(self, frame)
 
@@ -264,7 +270,7 @@
         )
         self.pending[frame.attempt] = PendingRequest(fut, may_reroute)
         if len(self.pending) == 1:
-            conn.last_received_s = asyncio.get_running_loop().time()
+            conn.last_reply_s = asyncio.get_running_loop().time()
         conn.send(frame)
         try:
             return await fut
@@ -317,9 +323,12 @@
         conn = self._conn
         if conn is None or now_s - conn.last_received_s <= DEAD_AFTER_S:
             return False
+        self._abort(conn)
+        return True
+
+    def _abort(self, conn: FrameConnection) -> None:
         _logger.warning("link_silent", daemon=self.peer.daemon)
         conn.transport.abort()
-        return True
 
     def unsubscribe(self) -> None:
         """Ends the subscription to the other daemon's records."""
@@ -339,9 +348,12 @@
     def check(self, now_s: float) -> None:
         """Pings or closes a connection with requests that receives nothing."""
         conn = self._conn
-        if conn is None or not self.pending or self.close_if_dead(now_s):
+        if conn is None or not self.pending:
+            return
+        if now_s - conn.last_reply_s > DEAD_AFTER_S:
+            self._abort(conn)
             return
-        idle_s = now_s - conn.last_received_s
+        idle_s = now_s - conn.last_reply_s
         if idle_s > UNRESPONSIVE_AFTER_S:
             self._on_unresponsive(self.peer)
             self._fail_reroutable_requests(idle_s)
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from buckthorn_core import directories
+from buckthorn_core import feed_trees
 from buckthorn_core import load_balancing
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import links
@@ -101,3 +102,36 @@
         server.close()
 
     asyncio.run(run())
+
+
+def test_feed_records_do_not_keep_a_link_that_loses_requests():
+    """Guards against requests sent for good on a link silent in one direction.
+
+    The other daemon's feed records still arrive, the requests to it don't.
+    """
+    confirmation = feed_trees.LogConfirmation("d-1", 1, 0.0)
+
+    async def send_feed(_, writer):
+        writer.write(frames.encode(frames.Hello("d-1/1", LOAD, 1)))
+        for _ in range(100):
+            writer.write(frames.encode(frames.Confirm(confirmation)))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
+    async def run():
+        server = await asyncio.start_server(send_feed, "127.0.0.1", 0)
+        link = link_to("d-1", server, [])
+        waiting = asyncio.create_task(
+            link.call(frames.OutcomeQuery("a", "d-1/1"))
+        )
+        while not link.pending:
+            await asyncio.sleep(0.01)
+        sent_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.5)
+        link.check(sent_s + links.DEAD_AFTER_S + 0.1)
+        await asyncio.wait((waiting,), timeout=1.0)
+        assert waiting.done()
+        assert isinstance(waiting.exception(), links.LinkLostError)
+        server.close()
+
+    asyncio.run(run())
