Shorten load reports without a limit

Each response carries a load report, and the delay by a limit took nine bytes in it as a float, also without a limit. It was rounded to milliseconds already; as an integer it takes one byte.

--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -85,8 +85,8 @@
         running: Number of requests in slots.
         waiting: Number of requests in the queue.
         run_s: Average run time in seconds.
-        start_delay_s: How long the upstream's limit delays the start of a
-            further request, in seconds.
+        start_delay_ms: How long the upstream's limit delays the start of a
+            further request, in milliseconds.
         notice: What the upstream has stated about itself; None if it takes
             requests without a limit, or nothing is known.
     """
@@ -95,7 +95,7 @@
     running: int
     waiting: int
     run_s: float
-    start_delay_s: float = 0.0
+    start_delay_ms: int = 0
     notice: stated_limits.UpstreamNotice | None = None
 
 
@@ -406,8 +406,9 @@
     load = status.load
     if load.notice is None:
         return 0.0
+    delay_s = load.start_delay_ms / 1000
     sent_s = status.sent_since_report * load.notice.interval_s
-    return max(0.0, load.start_delay_s + sent_s - (now_s - status.reported_s))
+    return max(0.0, delay_s + sent_s - (now_s - status.reported_s))
 
 
 def late_risk(total_s: float, left_s: float) -> float:
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -125,7 +125,7 @@
             queue.running,
             queue.waiting,
             round(queue.mean_run_s, 3),
-            round(queue.limit.delay_s(now_s, queue.waiting), 3),
+            round(1000 * queue.limit.delay_s(now_s, queue.waiting)),
             self._notice(),
         )
 
--- a/packages/standins/buckthorn_standins/limit_ways.py
+++ b/packages/standins/buckthorn_standins/limit_ways.py
@@ -135,7 +135,7 @@
         ids.InstanceId("i-7f3a91c2"), 10**12, 37.5, False
     )
     plain = load_balancing.LoadReport(18, 4, 0, 0.2)
-    limited = load_balancing.LoadReport(18, 4, 0, 0.2, 0.013, notice)
+    limited = load_balancing.LoadReport(18, 4, 0, 0.2, 13, notice)
     size = len(msgspec.msgpack.encode(limited))
     print(
         f"a load report: {len(msgspec.msgpack.encode(plain))} B, with a limit"
--- a/tests/core/test_load_balancing.py
+++ b/tests/core/test_load_balancing.py
@@ -305,7 +305,8 @@
 
 def limited_load(per_s, start_delay_s=0.0, leaving=False):
     notice = stated_limits.UpstreamNotice("i-1", 1_000, per_s, leaving)
-    return load_balancing.LoadReport(18, 2, 0, 0.2, start_delay_s, notice)
+    start_delay_ms = round(1000 * start_delay_s)
+    return load_balancing.LoadReport(18, 2, 0, 0.2, start_delay_ms, notice)
 
 
 def test_an_upstream_at_its_limit_is_passed_over():
