--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -242,7 +242,7 @@
             self._abandon_parent(str(exc), asyncio.get_running_loop().time())
 
     def _on_feed_frame(
-        self, daemon: ids.DaemonId, frame: frames.Records | frames.Confirm
+        self, daemon: ids.DaemonId, frame: frames.FeedFrame
     ) -> None:
         if daemon != self._state.parent:
             return
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -218,6 +218,7 @@
     | Confirm
 )
 LoadFrame = Response | Failure | Hello | Pong
+FeedFrame = Records | Confirm
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
 
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -43,14 +43,11 @@
 _logger = loguru.logger.bind(module=__name__)
 
 
-_FEED_FRAMES = (frames.Records, frames.Confirm)
 LoadReportCallback = Callable[
     [directories.Registration, frames.LoadFrame], None
 ]
 UnresponsiveCallback = Callable[[directories.Registration], None]
-FeedFrameCallback = Callable[
-    [ids.DaemonId, frames.Records | frames.Confirm], None
-]
+FeedFrameCallback = Callable[[ids.DaemonId, frames.FeedFrame], None]
 
 
 class LinkLostError(Exception):
@@ -128,7 +125,7 @@
             self.transport.abort()
             return
         self.last_received_s = self._loop.time()
-        if not found or not all(isinstance(f, _FEED_FRAMES) for f in found):
+        if not found or not all(isinstance(f, frames.FeedFrame) for f in found):
             self.last_reply_s = self.last_received_s
         for frame in found:
             self._on_frame(self, frame)
@@ -288,7 +285,7 @@
             conn
         ):
             self._on_report(self.peer, frame)
-        if isinstance(frame, frames.Records | frames.Confirm):
+        if isinstance(frame, frames.FeedFrame):
             self._on_feed_frame(self.peer.daemon, frame)
         elif isinstance(frame, frames.Response | frames.Failure):
             pending_request = self.pending.get(frame.attempt)
@@ -423,7 +420,7 @@
         return link
 
     def _on_feed_frame(
-        self, daemon: ids.DaemonId, frame: frames.Records | frames.Confirm
+        self, daemon: ids.DaemonId, frame: frames.FeedFrame
     ) -> None:
         self.on_feed_frame(daemon, frame)
 
