Share the bound of stated limits and the restart check between tests

Three tests counted requests in a window, each with constants of its own, and two tests of a closed upstream repeated the restart. tests/fakes/limits.py and assert_closed_after_restart hold them once; the assertions and the bounds are the same.

--- a/tests/core/test_stated_limits.py
+++ b/tests/core/test_stated_limits.py
@@ -1,6 +1,5 @@
 """Tests of request limits that upstreams state."""
 
-import bisect
 import itertools
 import random
 
@@ -8,16 +7,12 @@
 from hypothesis import strategies
 import pytest
 from tests.core import test_slot_queues
+from tests.fakes import limits
 
 from buckthorn_core import errors
 from buckthorn_core import slot_queues
 from buckthorn_core import stated_limits
 
-# In any such time an upstream may get one and a half times its limit and
-# SLACK requests more, as the platform's rule says.
-WINDOW_S = 4.0
-SLACK = 5
-
 
 def limited(per_s, now_s=0.0):
     limit = stated_limits.StatedLimit()
@@ -33,44 +28,36 @@
             yield now_s
 
 
-def most_in_window(times_s):
-    times_s = sorted(times_s)
-    return max(
-        bisect.bisect_left(times_s, t + WINDOW_S) - n
-        for n, t in enumerate(times_s)
-    )
-
-
 @pytest.mark.parametrize("per_s", [0.0, 0.2, 0.5, 1.0, 1.9, 7.3, 40.0, 500.0])
 def test_no_window_exceeds_the_limit(per_s):
     """Guards against bursts that add up to more than an upstream takes."""
     rng = random.Random(1)
     arrivals_s = sorted(rng.uniform(0, 30) for _ in range(30_000))
     times_s = list(start_times(limited(per_s), arrivals_s))
-    assert most_in_window(times_s) <= 1.5 * WINDOW_S * per_s + SLACK
+    assert limits.most_in_window(times_s) <= limits.allowed(per_s)
     rate = stated_limits.MIN_LIMIT_PER_S if per_s < 0.2 else per_s
     assert len(times_s) >= 0.9 * 30 * rate
 
 
 @hypothesis.given(
-    limits=strategies.lists(strategies.floats(0.3, 60.0), min_size=2),
+    stated=strategies.lists(strategies.floats(0.3, 60.0), min_size=2),
     restarts=strategies.lists(strategies.integers(0, 1_100), max_size=3),
 )
-def test_changing_limits_and_restarts_exceed_no_window(limits, restarts):
+def test_changing_limits_and_restarts_exceed_no_window(stated, restarts):
     """Guards against a burst at each change, or each restart of a daemon.
 
     The limit changes each second. The bound is that of the greatest limit.
     """
-    limit = limited(limits[0])
+    limit = limited(stated[0])
     times_s = []
-    for n in range(0, 100 * len(limits)):
+    for n in range(0, 100 * len(stated)):
         now_s = n / 100
         if n % 100 == 0:
-            limit.on_response(now_s, limits[n // 100])
+            limit.on_response(now_s, stated[n // 100])
         if n in restarts:
-            limit = limited(limits[n // 100], now_s)
+            limit = limited(stated[n // 100], now_s)
         times_s.extend(start_times(limit, [now_s] * 3))
-    assert most_in_window(times_s) <= 1.5 * WINDOW_S * max(limits) + SLACK
+    assert limits.most_in_window(times_s) <= limits.allowed(max(stated))
 
 
 def test_a_pause_saves_up_no_more_than_a_short_burst():
@@ -186,7 +173,7 @@
     assert (
         lesser["in_time"] / lesser["came"] < urgent["in_time"] / urgent["came"]
     )
-    assert most_in_window(replay.started_s) <= 1.5 * WINDOW_S * per_s + SLACK
+    assert limits.most_in_window(replay.started_s) <= limits.allowed(per_s)
     assert len(replay.started_s) >= 0.8 * 20 * per_s
     assert lesser["held"] <= 0.05 * lesser["came"]
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -154,23 +154,32 @@
     assert host.call("q-2").status == 200
 
 
-def test_a_restarted_daemon_sends_nothing_to_a_leaving_instance(host, instance):
-    """Guards against an acknowledged leave that is lost with the process.
+def assert_closed_after_restart(host, instance):
+    """Checks that a restarted daemon sends nothing to its instance.
 
-    A delayed earlier announcement may arrive at the next process, and the
-    health check of a leaving instance may still pass.
+    A delayed announcement of the instance arrives at the new process.
     """
-    control = host.ports["control"]
-    assert instance.heartbeat(control, "draining") == 200
     host.kill()
     host.start()
     standins.wait_for(lambda: host.readiness() == 200)
+    control = host.ports["control"]
     assert instance.heartbeat(control, "ready", sequence=1) == 200
     time.sleep(0.5)
     assert host.call("q-1").status == 503
     assert instance.runs == []
 
 
+def test_a_restarted_daemon_sends_nothing_to_a_leaving_instance(host, instance):
+    """Guards against an acknowledged leave that is lost with the process.
+
+    A delayed earlier announcement may arrive at the next process, and the
+    health check of a leaving instance may still pass.
+    """
+    control = host.ports["control"]
+    assert instance.heartbeat(control, "draining") == 200
+    assert_closed_after_restart(host, instance)
+
+
 def test_a_closing_is_recorded_when_the_store_is_back(host, instance, store):
     """Guards against a closing that the next announcement drops.
 
@@ -189,13 +198,7 @@
             for value in store.newest(topic).values()
         )
     )
-    host.kill()
-    host.start()
-    standins.wait_for(lambda: host.readiness() == 200)
-    assert instance.heartbeat(control, "ready", sequence=1) == 200
-    time.sleep(0.5)
-    assert host.call("q-1").status == 503
-    assert instance.runs == []
+    assert_closed_after_restart(host, instance)
 
 
 def test_a_restarted_daemon_serves_before_the_next_heartbeat(host, instance):
--- a/tests/platform/test_upstream_limits.py
+++ b/tests/platform/test_upstream_limits.py
@@ -5,14 +5,10 @@
 
 import pytest
 
+from tests.fakes import limits
 from tests.platform import standins
 
 pytestmark = pytest.mark.processes
-# Bounds of the platform: no limit applies before STABILITY_S, and in WINDOW_S
-# an instance may get one and a half times its limit and SLACK requests more.
-STABILITY_S = 3.0
-WINDOW_S = 4.0
-SLACK = 5
 DRAIN_S = 2.5
 
 
@@ -66,18 +62,11 @@
 
 def most_in_window(instance, start_s, end_s):
     """Returns the most requests that an instance got in one window."""
-    times_s = [r["at_s"] for r in instance.runs if start_s <= r["at_s"] < end_s]
-    return max(
-        (sum(t <= u < t + WINDOW_S for u in times_s) for t in times_s),
-        default=0,
+    return limits.most_in_window(
+        r["at_s"] for r in instance.runs if start_s <= r["at_s"] < end_s
     )
 
 
-def allowed(limit_per_s):
-    """Returns the requests that an instance may get in one window."""
-    return 1.5 * WINDOW_S * limit_per_s + SLACK
-
-
 @pytest.fixture
 def pair(new_host, new_instance):
     """Two hosts; only the instance beside the second serves `stock`."""
@@ -98,12 +87,12 @@
     instance.headers = [("Server-Limit", "8.0")]
     load = Load(hosts).start()
     cleanup(load)
-    start_s = time.monotonic() + STABILITY_S
-    time.sleep(STABILITY_S + WINDOW_S + 1)
+    start_s = time.monotonic() + limits.STABILITY_S
+    time.sleep(limits.STABILITY_S + limits.WINDOW_S + 1)
     load.close()
     got = most_in_window(instance, start_s, time.monotonic())
     # Half of the limit: refusing all would keep within it, too.
-    assert 0.5 * WINDOW_S * 8.0 <= got <= allowed(8.0)
+    assert 0.5 * limits.WINDOW_S * 8.0 <= got <= limits.allowed(8.0)
     refused = [(name, r) for name, r in load.replies if r.status != 200]
     assert {r.status for _, r in refused} == {503}
     ran = {run["id"] for run in instance.runs}
@@ -121,7 +110,7 @@
     instance.headers = [("Server-Limit", "4")]
     load = Load(hosts[:1], callers=8).start()
     cleanup(load)
-    time.sleep(STABILITY_S)
+    time.sleep(limits.STABILITY_S)
     start_s = time.monotonic()
     # A run takes so long that all slots are taken before the first response.
     answer_after(instance, 0.4)
@@ -131,9 +120,11 @@
         standins.wait_for(lambda: hosts[1].readiness() == 200)
         assert instance.heartbeat(hosts[1].ports["control"]) == 200
         time.sleep(0.3)
-    time.sleep(WINDOW_S)
+    time.sleep(limits.WINDOW_S)
     load.close()
-    assert most_in_window(instance, start_s, time.monotonic()) <= allowed(4)
+    assert most_in_window(
+        instance, start_s, time.monotonic()
+    ) <= limits.allowed(4)
     assert instance.runs[-1]["at_s"] > time.monotonic() - 2
 
 
--- a/tests/soak/meshes.py
+++ b/tests/soak/meshes.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from tests.fakes import limits
 from tests.platform import standins
 from tests.soak import proxies
 
@@ -15,12 +16,7 @@
 EXTRA_FAULTS = 4
 RECOVERY_S = 15.0
 DRAIN_S = 2.5
-# A limit applies STABILITY_S after it is first stated; in WINDOW_S an instance
-# may then get one and a half times its limit and SLACK requests more.
-STABILITY_S = 3.0
 LIMITED_S = 8.0
-WINDOW_S = 4.0
-SLACK = 5
 NOT_RUN = (408, 421, 429, 503)
 LEAVING = [("Server-Leaving", "1")]
 KINDS = {
@@ -59,16 +55,12 @@
 
     def excess(self):
         """Returns the most requests beyond the limit in one window."""
-        times_s = [
+        most = limits.most_in_window(
             run["at_s"]
             for run in list(self.instance.runs)
-            if self.since_s + STABILITY_S <= run["at_s"] < self.until_s
-        ]
-        most = max(
-            (sum(t <= u < t + WINDOW_S for u in times_s) for t in times_s),
-            default=0,
+            if self.since_s + limits.STABILITY_S <= run["at_s"] < self.until_s
         )
-        return most - (1.5 * WINDOW_S * self.per_s + SLACK)
+        return most - limits.allowed(self.per_s)
 
 
 class Mesh:
