--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -59,18 +60,26 @@
         self._file.flush()
 
 
+# Below the ports that the system takes for outgoing connections; runs beside
+# each other use different ones.
+_FIRST_PORT = 15_000 + os.getpid() % 15 * 1_000
+PORTS = range(_FIRST_PORT, _FIRST_PORT + 1_000)
 _ports = set()
 
 
 def free_port():
     """Returns a port that is free and was not returned before."""
     while True:
+        port = random.choice(PORTS)
+        if port in _ports:
+            continue
+        _ports.add(port)
         with contextlib.closing(socket.socket()) as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in _ports:
-            _ports.add(port)
-            return port
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 async def read_head(reader):
@@ -161,6 +170,7 @@
 
     Attributes:
         silent: Whether calls get no answer, and are not executed.
+        busy: Whether calls are answered with 503.
     """
 
     APPEND_S = 0.004
@@ -171,6 +181,7 @@
         self._topics = {}
         self._changed = asyncio.Event()
         self.silent = False
+        self.busy = False
 
     def put(self, topic, key, value):
         """Appends a record, as the operator does."""
@@ -187,6 +198,8 @@
         fields = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
         if self.silent:
             await asyncio.sleep(3600)
+        if self.busy:
+            return encode_answer(503)
         topic = fields.get("topic", "")
         records = self._topics.setdefault(topic, [])
         if path == "/api/log-append":
@@ -430,6 +443,8 @@
     Attributes:
         in_use: Whether clients send to it: two missed readiness checks in a
             row take it out.
+        memory_ends: How often its process was killed for its memory.
+        peak_mb: The most memory that its process had, in megabytes.
     """
 
     def __init__(self, lab, name, instance, zone="aarhus-havn",
@@ -465,6 +480,8 @@
         self.in_use = False
         self._misses = 2
         self.beats = True
+        self.memory_ends = 0
+        self.peak_mb = 0
 
     async def start(self):
         """Starts the process, as the deploy file does."""
@@ -515,6 +532,32 @@
         )
         return reply.status == 200
 
+    async def watch_memory(self, limit_mb, restart_s):
+        """Kills the process when it exceeds its memory, and starts it again."""
+        while True:
+            size_mb = self.memory_mb()
+            self.peak_mb = max(self.peak_mb, size_mb)
+            if size_mb > limit_mb:
+                self._lab.record.add(
+                    "over_memory", machine=self.name, mb=size_mb
+                )
+                self.memory_ends += 1
+                await self.kill()
+                await asyncio.sleep(restart_s)
+                await self.start()
+            await asyncio.sleep(0.02)
+
+    def memory_mb(self):
+        """Returns the memory of the process, in megabytes."""
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0
+        for line in text.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) // 1024
+        return 0
+
     async def watch(self):
         """Asks once a second whether the machine is ready."""
         while True:
@@ -683,6 +726,10 @@
 
     async def play():
         lab = Lab(case)
+        # A case that is ended from outside ends its processes, too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             if not PROGRAM.exists():
                 raise CannotRun("target/app is not built")
@@ -693,7 +740,9 @@
 
     try:
         broken = asyncio.run(play())
-    except (CannotRun, TimeoutError, OSError) as exc:
+    except (
+        CannotRun, TimeoutError, OSError, asyncio.CancelledError
+    ) as exc:
         print(f"can't run: {exc!r}")
         sys.exit(2)
     for line in broken[:20]:
