--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -740,9 +740,8 @@
 
     try:
         broken = asyncio.run(play())
-    except (
-        CannotRun, TimeoutError, OSError, asyncio.CancelledError
-    ) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
+        # A fault of the stand-ins must not look like a broken rule.
         print(f"can't run: {exc!r}")
         sys.exit(2)
     for line in broken[:20]:
