Refuse requests that crash upstreams on the platform, too

Callers saw: an idempotent request that crashes each instance that begins to run it was passed on each time it came, at every host, and once more by the system itself. What else ran on the crashed instances was lost; bookings among it ended with 502.

Cause: the sidecar has no quarantine. core/quarantines is used by the product's own daemon only. Ruled out: a count that gets lost between hosts, and a quarantine that ends too early; there was none.

Change: the sidecar counts a crash for the requests in flight when the upstream loses all connections and its port, or is replaced by a new lifetime without having left. From the second crash on a request is refused with 503 before it is sent. Suspicions travel with requests, failures and as the first frame of each connection; crashes are told at once to linked daemons and to those of the service, and a quarantine is recorded in the topic of members, so that it outlives a restart of all processes.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -390,6 +390,11 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has ended the connection."""
+        return self._close_reason is None and not self._transport.is_closing()
+
     def connection_made(self, transport: Any) -> None:
         """Stores the transport and sets its socket options."""
         self._transport = transport
--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -47,11 +47,13 @@
     ),
     "buckthorn_log_failures": "Failed calls of the log, by topic",
     "buckthorn_log_records": "Records read from the log, by verdict",
+    "buckthorn_members": "Registered daemons that are known",
     "buckthorn_operation_appends": ("Appends of claims to the log, by result"),
     "buckthorn_operation_read_failures": (
         "Failed reads of claims from the log"
     ),
     "buckthorn_pulls": "Pulls of versions by other daemons, by result",
+    "buckthorn_quarantines": "Requests that are refused for crashing upstreams",
     "buckthorn_ready": "1 when callers are served, 0 while they are refused",
     "buckthorn_request": "Duration of callers' requests, by service",
     "buckthorn_request_errors": (
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -19,6 +19,7 @@
     CLAIM_EXPIRED = "claim_expired"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_OVERRUN = "body_overrun"
@@ -67,6 +68,9 @@
     Code.CLAIM_EXPIRED: CodeInfo(503, True),
     Code.DRAINING: CodeInfo(503, True),
     Code.QUARANTINED: CodeInfo(422, True),
+    # The sidecars' refusal of a request in quarantine. Their callers take only
+    # a few statuses for a statement that the request has not run.
+    Code.CRASHES_UPSTREAMS: CodeInfo(503, True),
     Code.BODY_TOO_LARGE: CodeInfo(413, True),
     Code.HEADERS_TOO_LARGE: CodeInfo(431, True),
     # The body exceeded the limit after part of it had been sent.
--- a/packages/core/buckthorn_core/quarantines.py
+++ b/packages/core/buckthorn_core/quarantines.py
@@ -77,7 +77,8 @@
     return suspicion.incarnation + suspicion.revision
 
 
-def _is_expired(suspicion: entries.CrashSuspicion, now_ms: int) -> bool:
+def is_expired(suspicion: entries.CrashSuspicion, now_ms: int) -> bool:
+    """Returns whether a suspicion has no effect any more."""
     # A change far in the future comes from a wrong clock, and expires too.
     return abs(now_ms - _last_changed_ms(suspicion)) >= LIFETIME_MS
 
@@ -104,7 +105,7 @@
     def count_crash(self, digest: ids.Fingerprint, now_ms: int) -> None:
         """Counts an upstream crash with the request in flight."""
         old = self._suspicions.get(digest)
-        if old is None or _is_expired(old, now_ms):
+        if old is None or is_expired(old, now_ms):
             new = entries.CrashSuspicion(digest, now_ms, 0, 1)
         else:
             new = _updated(old, now_ms, old.crashes + 1)
@@ -128,7 +129,7 @@
         return (
             suspicion is not None
             and suspicion.crashes >= CRASH_LIMIT
-            and not _is_expired(suspicion, now_ms)
+            and not is_expired(suspicion, now_ms)
         )
 
     def check(self, digest: ids.Fingerprint, now_ms: int) -> None:
@@ -152,6 +153,10 @@
             n for n in self._suspicions if self.is_quarantined(n, now_ms)
         )
 
+    def has_reached_limit(self, digest: ids.Fingerprint) -> bool:
+        """Returns whether a request reached the crash limit at any time."""
+        return digest in self._reached_limit
+
     def for_other_regions(self) -> list[entries.CrashSuspicion]:
         """Returns suspicions that reached the crash limit at any time."""
         return [
@@ -161,7 +166,7 @@
     def expire(self, now_ms: int) -> None:
         """Removes expired suspicions."""
         for suspicion in list(self._suspicions.values()):
-            if _is_expired(suspicion, now_ms):
+            if is_expired(suspicion, now_ms):
                 self._drop(suspicion.fingerprint)
         self._evict_surplus()
 
--- /dev/null
+++ b/packages/sidecar/buckthorn_sidecar/crashes.py
@@ -0,0 +1,165 @@
+"""Detection of upstream crashes, and the runs of requests under suspicion.
+
+An upstream that crashes loses all its connections and its listening socket at
+once. A single lost connection is no crash: upstreams also close connections for
+other reasons.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+import loguru
+
+from buckthorn_core import ids
+from buckthorn_sidecar import suspicions
+from buckthorn_sidecar import upstream_pools
+
+# Time for the ends of the other connections to arrive, in seconds.
+SETTLE_S = 0.005
+# Pauses before the probes of the upstream's port, in seconds: a process that
+# ends closes its sockets one after the other.
+PROBE_PAUSES_S = (0.0, 0.05)
+# Requests that were in flight at a lost connection count for a crash if a new
+# lifetime begins within this time, in seconds. The upstream then was back on
+# its port before it was probed.
+LOST_REQUEST_KEEP_S = 4.0
+
+_logger = loguru.logger.bind(module=__name__)
+
+
+class CrashDetector:
+    """Counts each crash once for each request that was in flight."""
+
+    def __init__(
+        self,
+        pool: upstream_pools.UpstreamPool,
+        known_suspicions: suspicions.Suspicions,
+    ):
+        self._pool = pool
+        self._suspicions = known_suspicions
+        # The requests in flight by attempt id.
+        self._in_flight: dict[str, ids.Fingerprint] = {}
+        # Requests whose connection may have been lost in a crash, with the
+        # time of the loss.
+        self._lost: dict[str, tuple[float, ids.Fingerprint]] = {}
+        self._detecting: asyncio.Task[bool] | None = None
+
+    def begin(self, attempt: str, digest: ids.Fingerprint) -> None:
+        """Registers a request, just before its first byte is sent."""
+        self._in_flight[attempt] = digest
+
+    def end(self, attempt: str) -> None:
+        """Unregisters a request that is not in flight any more."""
+        self._in_flight.pop(attempt, None)
+
+    def complete(self, attempt: str) -> None:
+        """Records that a request has got a complete response."""
+        digest = self._in_flight.pop(attempt, None)
+        if digest is None:
+            return
+        for other, (_, lost) in list(self._lost.items()):
+            if lost == digest:
+                del self._lost[other]
+        self._suspicions.complete(digest)
+
+    async def on_connection_lost(self) -> bool:
+        """Returns whether a connection of a request was lost in a crash.
+
+        Returns once the crash is counted.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._drop_old(now_s)
+        for attempt, digest in self._in_flight.items():
+            self._lost.setdefault(attempt, (now_s, digest))
+        if self._detecting is None:
+            self._detecting = asyncio.create_task(self._detect())
+            self._detecting.add_done_callback(self._on_detected)
+        return await asyncio.shield(self._detecting)
+
+    def on_new_lifetime(self) -> None:
+        """Counts a crash after which the upstream was back at once."""
+        self._drop_old(asyncio.get_running_loop().time())
+        self._count()
+
+    def close(self) -> None:
+        """Ends a probe that is under way."""
+        if self._detecting is not None:
+            self._detecting.cancel()
+
+    def _on_detected(self, task: asyncio.Task[bool]) -> None:
+        del task
+        self._detecting = None
+
+    async def _detect(self) -> bool:
+        await asyncio.sleep(SETTLE_S)
+        for pause_s in PROBE_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            if self._pool.has_open_connections:
+                return False
+            if await self._pool.refuses_connections():
+                self._count()
+                return True
+        return False
+
+    def _drop_old(self, now_s: float) -> None:
+        for attempt, (lost_s, _) in list(self._lost.items()):
+            if now_s - lost_s > LOST_REQUEST_KEEP_S:
+                del self._lost[attempt]
+
+    def _count(self) -> None:
+        digests = {digest for _, digest in self._lost.values()}
+        for attempt in self._lost:
+            self._in_flight.pop(attempt, None)
+        self._lost.clear()
+        if digests:
+            _logger.warning("upstream_crashed", in_flight=len(digests))
+            self._suspicions.count_crash(digests)
+
+
+class SuspectRuns:
+    """Lets an upstream run one request under suspicion at a time.
+
+    The requests that were in flight at a crash come again together. If they
+    ran beside each other again, the next crash would count for all of them,
+    and innocent ones would be refused with the one that crashes upstreams.
+    """
+
+    def __init__(self) -> None:
+        self._running: ids.Fingerprint | None = None
+        self._count = 0
+        self._waiters: list[asyncio.Future[None]] = []
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, digest: ids.Fingerprint, start_by_s: float
+    ) -> AsyncIterator[None]:
+        """Holds off other requests under suspicion.
+
+        Args:
+            digest: The request; copies of it may run beside each other.
+            start_by_s: When waiting ends, on the event loop's clock.
+
+        Raises:
+            TimeoutError: Another one ran for too long.
+        """
+        async with asyncio.timeout_at(start_by_s):
+            while self._running not in (None, digest):
+                fut = asyncio.get_running_loop().create_future()
+                self._waiters.append(fut)
+                await fut
+        self._running = digest
+        self._count += 1
+        try:
+            yield
+        finally:
+            self._count -= 1
+            if self._count == 0:
+                self._running = None
+                self._wake()
+
+    def _wake(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for fut in waiters:
+            if not fut.done():
+                fut.set_result(None)
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -25,6 +25,7 @@
 from buckthorn_sidecar import interfaces
 from buckthorn_sidecar import links
 from buckthorn_sidecar import settings
+from buckthorn_sidecar import suspicions
 
 # Added to the request deadline so that the timeout response of the daemon
 # beside the upstream, which expires first, still arrives; in seconds.
@@ -86,6 +87,7 @@
         metadata: What the caller's headers state.
         route: The matched route, of the version at the start of the request.
         service: The service that runs the request.
+        fingerprint: Digest by which the request is known when it comes again.
         started_s: When the request was received, in seconds.
         deadline_s: When the final response is due, in seconds.
         age_s: Estimated time since the caller first sent the request, in
@@ -119,6 +121,7 @@
         self.metadata = metadata
         self.route = route
         self.service = service
+        self.fingerprint = suspicions.fingerprint(service, metadata.host, req)
         self.started_s = now_s
         left_s = route.timeout_s
         if metadata.left_s is not None:
@@ -176,7 +179,10 @@
         self._load_balancer = load_balancing.LoadBalancer(
             load_balancing.Origin(cfg.daemon, cfg.site, cfg.region), self._rng
         )
-        self.links = links.LinkPool(self._on_report, self._on_unresponsive)
+        self._suspicions = local.suspicions
+        self.links = links.LinkPool(
+            self._on_report, self._on_unresponsive, local.suspicions
+        )
         self._service_selector = virtual_hosts.WeightedRoundRobin()
         self._caller_ages = caller_ages.CallerAges()
         self._retry_quotas = retry_quotas.RetryQuotas(
@@ -260,6 +266,7 @@
         self._retry_quotas.add_request(service, loop.time())
         outcome = "caller_gone"
         try:
+            self._suspicions.check(ctx.fingerprint)
             response = await self._serve(ctx)
             outcome = str(response.status)
             return response
@@ -317,12 +324,16 @@
                 raise self._final_error(ctx, refused)
             result = await self._send_attempt(ctx, to)
             if isinstance(result, frames.Response):
+                if self._suspicions.get(ctx.fingerprint).crashes:
+                    self._suspicions.complete(ctx.fingerprint)
                 ctx.arrivals += 1
                 failed = _to_http_response(result)
                 if not self._should_retry_response(ctx, result.status):
                     return failed
             else:
                 ctx.arrivals += result.arrived
+                if result.suspicion is not None:
+                    self._suspicions.merge([result.suspicion])
                 ctx.failed_attempts.add(_to_error(result))
                 ctx.region_full |= self._is_full_in_region(to, result)
                 ctx.add_refusal(result)
@@ -361,6 +372,8 @@
         not_run = errors.CODE_INFO[result.code].not_run
         if not not_run and not ctx.route.idempotent:
             return False
+        if self._suspicions.is_quarantined(ctx.fingerprint):
+            return False
         if refusals > MAX_REFUSALS or not self._has_candidate(ctx):
             return False
         return not result.arrived or self._acquire_retry(ctx, not not_run)
@@ -483,6 +496,7 @@
             http1.end_to_end(req.headers),
             req.body,
             self._load_balancer.status_of(to).notice,
+            self._suspicions.get(ctx.fingerprint),
         )
         if to.daemon == self._cfg.daemon:
             return await self._send_local(frame)
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
@@ -42,6 +43,8 @@
         body: The request body.
         notice: What the upstream last stated to the sender about itself; None
             if there is nothing to keep to.
+        suspicion: Names the request, with the upstream crashes during which it
+            was in flight; None from a sender that doesn't know of suspicions.
     """
 
     attempt: str
@@ -60,6 +63,7 @@
     headers: Headers
     body: bytes
     notice: stated_limits.UpstreamNotice | None = None
+    suspicion: entries.CrashSuspicion | None = None
 
 
 class Cancel(msgspec.Struct, tag="c", array_like=True, frozen=True):
@@ -114,6 +118,8 @@
         arrived: Whether the attempt reached the upstream.
         load: The upstream's load.
         version: The sender's configuration version.
+        suspicion: The crashes of upstreams during which the request was in
+            flight; None if there was none.
     """
 
     attempt: str
@@ -123,6 +129,7 @@
     arrived: bool
     load: load_balancing.LoadReport
     version: int
+    suspicion: entries.CrashSuspicion | None = None
 
 
 class Hello(msgspec.Struct, tag="h", array_like=True, frozen=True):
@@ -132,22 +139,37 @@
         boot_id: Unique id of the process; it changes with each start.
         load: The upstream's load.
         version: The sender's configuration version.
+        suspicions: Requests that are, or were, in quarantine.
     """
 
     boot_id: str
     load: load_balancing.LoadReport
     version: int
+    suspicions: list[entries.CrashSuspicion] = []
 
 
 class Ping(msgspec.Struct, tag="p", array_like=True, frozen=True):
-    """Requests a `Pong`."""
+    """Requests a `Pong`.
+
+    Attributes:
+        suspicions: Requests whose quarantine the receiver may not know.
+    """
+
+    suspicions: list[entries.CrashSuspicion] = []
 
 
 class Pong(msgspec.Struct, tag="P", array_like=True, frozen=True):
-    """Reply to a `Ping`; also sent when admission opens or closes."""
+    """Reply to a `Ping`; also sent when admission opens or closes.
+
+    Attributes:
+        load: The upstream's load.
+        version: The sender's configuration version.
+        suspicions: Requests whose quarantine the receiver may not know.
+    """
 
     load: load_balancing.LoadReport
     version: int
+    suspicions: list[entries.CrashSuspicion] = []
 
 
 class Subscribe(msgspec.Struct, tag="s", array_like=True, frozen=True):
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
 import time
 import uuid
 
@@ -19,15 +21,18 @@
 from buckthorn_core import byte_budgets
 from buckthorn_core import call_routes
 from buckthorn_core import circuit_breakers
+from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
 from buckthorn_core import load_balancing
 from buckthorn_core import slot_queues
 from buckthorn_core import stated_limits
+from buckthorn_sidecar import crashes
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import interfaces
 from buckthorn_sidecar import settings
+from buckthorn_sidecar import suspicions
 from buckthorn_sidecar import upstream_pools
 
 # The upstream responds at the request's deadline at the latest; the request
@@ -37,6 +42,9 @@
 # Retry-After of refusals that have no relation to the load, in seconds: by
 # then another daemon can serve the request.
 REFUSAL_RETRY_AFTER_S = 0.1
+# Part of the time left that a request under suspicion waits for another one;
+# in the rest it can still run elsewhere.
+SUSPECT_WAIT_FRACTION = 0.5
 # Callers treat these statuses as a guarantee that the request did not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _GATEWAY_TIMEOUT = 504
@@ -52,6 +60,7 @@
         lifetimes: The upstream's current lifetime and state.
         version: The configuration version in force, for load reports.
         boot_id: Unique id of this process, prefixed with the daemon's id.
+        suspicions: What this daemon knows of requests that crash upstreams.
         on_admission_change: Called when admission opens or closes.
         on_upstream_closed: Called when the upstream is leaving according to
             its responses or another daemon.
@@ -77,6 +86,11 @@
         # Attempts of non-idempotent requests that are running.
         self._non_cancellable: set[str] = set()
         self._circuit_breaker = circuit_breakers.CircuitBreaker()
+        self.suspicions = suspicions.Suspicions()
+        self._crash_detector = crashes.CrashDetector(
+            self._pool, self.suspicions
+        )
+        self._suspect_runs = crashes.SuspectRuns()
         self._call_routes = call_routes.CallRouteDetector()
         self._known_call_routes: set[ids.RouteName] = set()
         self._stopping = False
@@ -108,6 +122,7 @@
             self._start_timer.cancel()
         for task in self._tasks.values():
             task.cancel()
+        self._crash_detector.close()
         self._pool.close()
 
     def keep_only(self, routes: set[ids.RouteName]) -> None:
@@ -157,11 +172,22 @@
 
     def hello(self) -> frames.Hello:
         """Returns the first frame to send on an accepted connection."""
-        return frames.Hello(self.boot_id, self.load(), self.version)
+        return frames.Hello(
+            self.boot_id,
+            self.load(),
+            self.version,
+            self.suspicions.reached_limit(),
+        )
 
-    def pong(self) -> frames.Pong:
-        """Returns the reply to a ping, with the current load."""
-        return frames.Pong(self.load(), self.version)
+    def pong(
+        self, changed: Sequence[entries.CrashSuspicion] = ()
+    ) -> frames.Pong:
+        """Returns the reply to a ping, with the current load.
+
+        Args:
+            changed: Suspicions that the receiver may not know.
+        """
+        return frames.Pong(self.load(), self.version, list(changed))
 
     def announce(
         self, announcement: lifetimes.Announcement
@@ -172,8 +198,11 @@
             (old.instance, old.address)
             == (announcement.instance, announcement.address)
         )
+        was_open = self.lifetimes.accepts_requests
         change = self.lifetimes.apply_announcement(announcement)
         if change is lifetimes.Change.NEW_LIFETIME:
+            if was_open and not assumed:
+                self._crash_detector.on_new_lifetime()
             if not assumed:
                 self._pool.set_address(announcement.address)
             self._circuit_breaker.reset()
@@ -317,10 +346,16 @@
         responded = failed = False
         aborted = True
         started_s = loop.time()
+        suspect_run = contextlib.AsyncExitStack()
         try:
-            ticket = await self._admit(req, deadline_s)
+            await self._await_suspect_run(req, deadline_s, suspect_run)
+            ticket = await self._admit(req, started_s, deadline_s)
             conn, data = await self._prepare(req, deadline_s)
             arrived = True
+            if req.suspicion is not None:
+                self._crash_detector.begin(
+                    req.attempt, req.suspicion.fingerprint
+                )
             lifetime = self.lifetimes.current
             if not req.idempotent:
                 self._non_cancellable.add(req.attempt)
@@ -332,6 +367,10 @@
                     conn, req.method, data, req.request_id
                 )
             responded = True
+            if not (
+                exchange.metadata.not_run or exchange.metadata.wrong_instance
+            ):
+                self._crash_detector.complete(req.attempt)
             self._apply_statements(lifetime, exchange.metadata)
             status = exchange.response.status
             # On 504 the upstream itself aborted the run.
@@ -348,6 +387,8 @@
             )
         except errors.RequestError as exc:
             failed = True
+            if isinstance(exc, upstream_pools.ConnectionLostError):
+                await self._record_lost_connection()
             if arrived:
                 _logger.info(
                     "upstream_failed",
@@ -357,8 +398,9 @@
                     error=str(exc),
                     seconds=round(loop.time() - started_s, 3),
                 )
-            return self._failure(req.attempt, exc, arrived)
+            return self._failure(req.attempt, exc, arrived, req.suspicion)
         finally:
+            self._crash_detector.end(req.attempt)
             self._non_cancellable.discard(req.attempt)
             self._circuit_breaker.on_ended(req.attempt, responded, loop.time())
             self._notify_admission_change()
@@ -369,6 +411,48 @@
                 ran_s = loop.time() - started_s if ran else None
                 self.queue.release(ticket, ran_s, aborted)
                 self._start_queued()
+            await suspect_run.aclose()
+
+    async def _await_suspect_run(
+        self,
+        req: frames.Request,
+        deadline_s: float,
+        suspect_run: contextlib.AsyncExitStack,
+    ) -> None:
+        """Waits until a request under suspicion may run.
+
+        Raises:
+            errors.RequestError: The request is in quarantine, or others under
+                suspicion take too long.
+        """
+        if req.suspicion is None:
+            return
+        digest = req.suspicion.fingerprint
+        self.suspicions.merge([req.suspicion])
+        self.suspicions.check(digest)
+        if not self.suspicions.get(digest).crashes:
+            return
+        now_s = asyncio.get_running_loop().time()
+        start_by_s = now_s + (deadline_s - now_s) * SUSPECT_WAIT_FRACTION
+        try:
+            await suspect_run.enter_async_context(
+                self._suspect_runs.run(digest, start_by_s)
+            )
+        except TimeoutError as exc:
+            raise errors.RequestError(
+                errors.Code.SLOTS_FULL,
+                "another request under suspicion runs",
+                self._retry_after_s(),
+            ) from exc
+
+    async def _record_lost_connection(self) -> None:
+        """Counts a crash, if the connection was lost in one."""
+        if not self.lifetimes.accepts_requests:
+            # An upstream that leaves ends without having crashed.
+            return
+        if await self._crash_detector.on_connection_lost():
+            now_s = asyncio.get_running_loop().time()
+            self._circuit_breaker.on_unreachable(now_s)
 
     def _apply_statements(
         self,
@@ -451,10 +535,15 @@
         return None
 
     async def _admit(
-        self, req: frames.Request, deadline_s: float
+        self, req: frames.Request, received_s: float, deadline_s: float
     ) -> slot_queues.Ticket:
         """Returns the ticket of a request once it has a slot.
 
+        Args:
+            req: The request.
+            received_s: When it was received, on the event loop's clock.
+            deadline_s: Its deadline, on the same clock.
+
         Raises:
             errors.RequestError: The request was refused.
         """
@@ -470,13 +559,13 @@
                 REFUSAL_RETRY_AFTER_S,
             )
         now_s = asyncio.get_running_loop().time()
-        target_at_s = now_s + req.target_left_s
+        target_at_s = received_s + req.target_left_s
         if self._is_from_upstream_run(req):
             target_at_s = deadline_s
         slot_request = slot_queues.SlotRequest(
             req.route,
             req.priority,
-            now_s + req.caller_left_s,
+            received_s + req.caller_left_s,
             target_at_s,
             deadline_s,
             req.target_s,
@@ -579,6 +668,9 @@
             raise
         try:
             instance = self._instance()
+            if req.suspicion is not None:
+                # Other copies may have crashed upstreams meanwhile.
+                self.suspicions.check(req.suspicion.fingerprint)
             left_s = deadline_s - loop.time()
             if left_s <= 0:
                 raise errors.RequestError(
@@ -644,8 +736,14 @@
         )
 
     def _failure(
-        self, attempt: str, exc: errors.RequestError, arrived: bool
+        self,
+        attempt: str,
+        exc: errors.RequestError,
+        arrived: bool,
+        suspicion: entries.CrashSuspicion | None = None,
     ) -> frames.Failure:
+        if suspicion is not None:
+            suspicion = self.suspicions.get(suspicion.fingerprint)
         self._meter.count("buckthorn_ingress_errors", code=exc.code.value)
         return frames.Failure(
             attempt,
@@ -655,4 +753,5 @@
             arrived,
             self.load(),
             self.version,
+            suspicion if suspicion and suspicion.incarnation else None,
         )
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -16,10 +16,12 @@
 
 from buckthorn_adapters import http1
 from buckthorn_core import directories
+from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
+from buckthorn_sidecar import suspicions
 
 # Connecting between regions takes 40 ms; one lost packet adds 200 ms.
 CONNECT_TIMEOUT_S = 0.4
@@ -156,8 +158,10 @@
         on_report: LoadReportCallback,
         on_unresponsive: UnresponsiveCallback,
         on_feed_frame: FeedFrameCallback,
+        known_suspicions: suspicions.Suspicions,
     ):
         self.peer = peer
+        self._suspicions = known_suspicions
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._on_feed_frame = on_feed_frame
@@ -167,6 +171,11 @@
         self.boot_id = ""
         self.pending: dict[str, PendingRequest] = {}
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether there is a connection."""
+        return self._conn is not None
+
     async def connect(
         self, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> FrameConnection:
@@ -219,6 +228,11 @@
             conn.transport.abort()
             raise ConnectionRefusedError(f"{found} listens there")
         self._conn = conn
+        known = self._suspicions.reached_limit()
+        if known:
+            # The process may have started since; it gets them before the first
+            # request.
+            conn.send(frames.Ping(known))
         return conn
 
     def _has_expected_peer(self, conn: FrameConnection) -> bool:
@@ -285,6 +299,8 @@
             conn
         ):
             self._on_report(self.peer, frame)
+        if isinstance(frame, frames.Hello | frames.Pong):
+            self._suspicions.merge(frame.suspicions)
         if isinstance(frame, frames.FeedFrame):
             self._on_feed_frame(self.peer.daemon, frame)
         elif isinstance(frame, frames.Response | frames.Failure):
@@ -302,6 +318,15 @@
                     LinkLostError(f"{self.peer.address}: {reason}")
                 )
 
+    async def tell(self, changed: list[entries.CrashSuspicion]) -> None:
+        """Sends suspicions to the other daemon.
+
+        Raises:
+            NotSentError: There is no connection.
+        """
+        conn = await self.connect()
+        conn.send(frames.Ping(changed))
+
     async def subscribe(self, frame: frames.Subscribe) -> None:
         """Asks the other daemon for its records and those that follow.
 
@@ -386,9 +411,11 @@
         self,
         on_report: LoadReportCallback,
         on_unresponsive: UnresponsiveCallback,
+        known_suspicions: suspicions.Suspicions,
     ):
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
+        self._suspicions = known_suspicions
         self.on_feed_frame: FeedFrameCallback = lambda daemon, frame: None
         self._links: dict[ids.DaemonId, Link] = {}
         self._check_task: asyncio.Task[None] | None = None
@@ -404,6 +431,10 @@
         for link in self._links.values():
             link.close()
 
+    def connected(self) -> list[Link]:
+        """Returns the links that have a connection."""
+        return [link for link in self._links.values() if link.is_connected]
+
     def get_or_create(self, registration: directories.Registration) -> Link:
         """Returns the link to a daemon, replaced if its address has changed."""
         link = self._links.get(registration.daemon)
@@ -415,6 +446,7 @@
                 self._on_report,
                 self._on_unresponsive,
                 self._on_feed_frame,
+                self._suspicions,
             )
             self._links[registration.daemon] = link
         return link
@@ -503,6 +535,7 @@
         elif isinstance(frame, frames.Cancel):
             self._handler.cancel(frame.attempt)
         elif isinstance(frame, frames.Ping):
+            self._handler.suspicions.merge(frame.suspicions)
             conn.send(self._handler.pong())
         elif isinstance(frame, frames.Subscribe):
             self.on_subscribe(conn, frame)
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -1,6 +1,7 @@
 """Assembles a sidecar and controls its start, drain and stop."""
 
 import asyncio
+import contextlib
 import math
 from typing import NamedTuple
 
@@ -11,6 +12,7 @@
 from buckthorn_adapters import traffic_counters
 from buckthorn_core import byte_budgets
 from buckthorn_core import directories
+from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
@@ -147,8 +149,15 @@
             log, topics.members, cfg.daemon, self.directory
         )
         self._member_applier.on_local_record = self._on_local_record
+        self._suspicion_recorder = topic_followers.SuspicionRecorder(
+            log, topics.members, self._member_follower.table
+        )
+        suspicions = self.ingress.suspicions
+        suspicions.on_change = self._on_suspicion_change
+        self._member_applier.on_suspicion = lambda s: suspicions.merge([s])
         self._tasks: list[asyncio.Task[None]] = []
         self._closing_writes: set[asyncio.Task[None]] = set()
+        self._tellings: set[asyncio.Task[None]] = set()
         # The lifetime that was closed last. The directory has it only once the
         # record has been written and read.
         self._closed = ids.InstanceId("")
@@ -158,6 +167,12 @@
         self.meter.register_gauge(
             "buckthorn_version", lambda: self.holder.number
         )
+        self.meter.register_gauge(
+            "buckthorn_members", lambda: len(self.directory)
+        )
+        self.meter.register_gauge(
+            "buckthorn_quarantines", lambda: self.ingress.suspicions.count
+        )
         self.meter.register_gauge(
             "buckthorn_body_bytes", lambda: body_budget.used
         )
@@ -192,6 +207,7 @@
         self._configuration_follower.start()
         self._member_follower.start()
         self._registrar.start()
+        self._suspicion_recorder.start()
         self._tasks = [
             asyncio.create_task(self._check_health()),
         ]
@@ -227,10 +243,11 @@
 
     def close(self) -> None:
         """Stops immediately, without waiting for requests in flight."""
-        for task in (*self._tasks, *self._closing_writes):
+        for task in (*self._tasks, *self._closing_writes, *self._tellings):
             task.cancel()
         self._feed.close()
         self._registrar.close()
+        self._suspicion_recorder.close()
         self._member_follower.close()
         self._configuration_follower.close()
         self.callers.close()
@@ -322,6 +339,37 @@
             )
         self._registrar.reconcile()
 
+    def _on_suspicion_change(
+        self, changed: list[entries.CrashSuspicion]
+    ) -> None:
+        """Passes suspicions on to the daemons that need them first.
+
+        Those of the same service are told in any case: each of them refuses
+        the request for all senders that don't know of it. All others get it
+        from the log.
+        """
+        self._link_server.broadcast(self.ingress.pong(changed))
+        pool = self._egress.links
+        links_to_tell = set(pool.connected())
+        for registration in self.directory.for_service(self._cfg.service):
+            if registration.daemon != self._cfg.daemon:
+                links_to_tell.add(pool.get_or_create(registration))
+        for link in links_to_tell:
+            task = asyncio.create_task(self._tell(link, changed))
+            self._tellings.add(task)
+            task.add_done_callback(self._tellings.discard)
+        for suspicion in changed:
+            if self.ingress.suspicions.has_reached_limit(suspicion.fingerprint):
+                self._suspicion_recorder.record(suspicion)
+
+    async def _tell(
+        self, link: links.Link, changed: list[entries.CrashSuspicion]
+    ) -> None:
+        # A daemon that can't be reached now gets those from the crash limit on
+        # with the next connection.
+        with contextlib.suppress(links.NotSentError):
+            await link.tell(changed)
+
     async def _check_health(self) -> None:
         """Checks the health of an upstream that is already running."""
         await self._member_follower.synced.wait()
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -11,6 +11,7 @@
 
 from buckthorn_adapters import metrics
 from buckthorn_core import directories
+from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
@@ -19,6 +20,7 @@
 from buckthorn_core import topic_tables
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import interfaces
+from buckthorn_sidecar import suspicions
 
 # Timeout of a long-polling read that finds no new record, in seconds. An empty
 # result on the configuration topic confirms that nothing has changed, which fed
@@ -287,6 +289,7 @@
 
     Attributes:
         on_local_record: Called when this daemon's own record may have changed.
+        on_suspicion: Called with each suspicion that the topic has, too.
     """
 
     def __init__(
@@ -301,9 +304,15 @@
         self._on_removed = on_removed
         self._meter = meter
         self.on_local_record: Callable[[], None] = lambda: None
+        self.on_suspicion: Callable[[entries.CrashSuspicion], None] = (
+            lambda suspicion: None
+        )
 
     def on_record(self, record: topic_tables.Record) -> None:
         """Applies a record of the member topic."""
+        if record.key.startswith(suspicions.KEY_PREFIX):
+            self._apply_suspicion(record)
+            return
         daemon = ids.DaemonId(record.key)
         if not record.value:
             self._remove(daemon)
@@ -329,6 +338,18 @@
         if daemon == self._daemon:
             self.on_local_record()
 
+    def _apply_suspicion(self, record: topic_tables.Record) -> None:
+        if not record.value:
+            # Deleted after it has expired.
+            return
+        try:
+            suspicion = suspicions.decode(record.value)
+        except errors.ConfigError as exc:
+            self._meter.count("buckthorn_bad_records", kind="suspicion")
+            _logger.warning("bad_suspicion", key=record.key, error=str(exc))
+            return
+        self.on_suspicion(suspicion)
+
     def on_snapshot(self, removed_keys: set[str]) -> None:
         """Removes the members that a snapshot no longer contains."""
         for key in removed_keys:
@@ -344,6 +365,72 @@
             self.on_local_record()
 
 
+class SuspicionRecorder:
+    """Records suspicions in the member topic, for daemons that start later."""
+
+    def __init__(
+        self,
+        log: interfaces.KeyedLog,
+        topic: str,
+        table: topic_tables.TopicTable,
+    ):
+        """Creates the recorder.
+
+        Args:
+            log: The log.
+            topic: The topic of members.
+            table: The records of that topic.
+        """
+        self._log = log
+        self._topic = topic
+        self._table = table
+        self._pending: dict[str, bytes] = {}
+        self._changed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts writing."""
+        self._task = asyncio.create_task(self._write_loop())
+
+    def close(self) -> None:
+        """Stops writing."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def record(self, suspicion: entries.CrashSuspicion) -> None:
+        """Records a suspicion, and deletes expired ones."""
+        for record in self._table.records_since(None):
+            if _is_expired_suspicion(record):
+                self._pending[record.key] = b""
+        key = suspicions.record_key(suspicion)
+        self._pending[key] = suspicions.encode(suspicion)
+        self._changed.set()
+
+    async def _write_loop(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while self._pending:
+                key, value = next(iter(self._pending.items()))
+                try:
+                    await self._log.append(self._topic, key, value)
+                except errors.LogError as exc:
+                    _logger.warning("suspicion_not_written", error=str(exc))
+                    await asyncio.sleep(RETRY_INTERVAL_S)
+                    continue
+                if self._pending.get(key) == value:
+                    del self._pending[key]
+
+
+def _is_expired_suspicion(record: topic_tables.Record) -> bool:
+    if not record.value or not record.key.startswith(suspicions.KEY_PREFIX):
+        return False
+    try:
+        return suspicions.is_expired(suspicions.decode(record.value))
+    except errors.ConfigError:
+        return True
+
+
 class Registrar:
     """Keeps this daemon's own record in the member topic up to date."""
 
--- a/packages/sidecar/buckthorn_sidecar/upstream_pools.py
+++ b/packages/sidecar/buckthorn_sidecar/upstream_pools.py
@@ -20,6 +20,8 @@
 # The upstream is on the same host. If its accept queue is full, the SYN packet
 # is dropped and only sent again after a second.
 CONNECT_TIMEOUT_S = 0.5
+# How long a probe of the upstream's port waits, in seconds.
+PROBE_TIMEOUT_S = 0.2
 # Idle connections are closed after this fraction of the idle timeout that the
 # upstream announces.
 IDLE_TIMEOUT_FRACTION = 0.5
@@ -36,6 +38,10 @@
 _logger = loguru.logger.bind(module=__name__)
 
 
+class ConnectionLostError(errors.RequestError):
+    """The connection ended before the complete response."""
+
+
 class Exchange(NamedTuple):
     """A response of the upstream and the metadata from its headers."""
 
@@ -66,6 +72,7 @@
         self._mesh_headers = mesh_headers
         self._body_budget = body_budget
         self._idle: list[http1.Connection] = []
+        self._in_exchange: set[http1.Connection] = set()
         self._idle_limit = idle_limits.IdleLimit()
         self._address = ids.Address("")
 
@@ -112,6 +119,24 @@
                 CONNECT_TIMEOUT_S,
             ) from exc
 
+    @property
+    def has_open_connections(self) -> bool:
+        """Whether the upstream has not ended all connections."""
+        return any(conn.is_open for conn in (*self._idle, *self._in_exchange))
+
+    async def refuses_connections(self) -> bool:
+        """Returns whether nothing listens at the upstream's address."""
+        try:
+            conn = await http1.connect(
+                self._address, PROBE_TIMEOUT_S, MAX_RESPONSE_BYTES
+            )
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        conn.close()
+        return False
+
     async def check_health(self, path: str) -> Health:
         """Returns what the upstream's health check says.
 
@@ -143,6 +168,7 @@
                 may have run.
         """
         done = False
+        self._in_exchange.add(conn)
         sent_s = asyncio.get_running_loop().time()
         try:
             conn.send(data, head_only=method == "HEAD")
@@ -150,10 +176,11 @@
             done = True
         except http1.IncompleteResponseError as exc:
             self._record_truncation(conn, exc, sent_s)
-            raise errors.RequestError(
+            raise ConnectionLostError(
                 errors.Code.UPSTREAM_FAILED, str(exc)
             ) from exc
         finally:
+            self._in_exchange.discard(conn)
             if not done:
                 conn.close()
         conn.end_exchange()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -103,6 +103,11 @@
     """An HTTP server that runs on its own thread."""
 
     def __init__(self, port=0):
+        self._open(port)
+        self.port = self._server.server_address[1]
+        self.address = f"127.0.0.1:{self.port}"
+
+    def _open(self, port):
         standin = self
 
         class Handler(_Handler):
@@ -112,8 +117,6 @@
                 raise AttributeError(name)
 
         self._server = _Server(("127.0.0.1", port), Handler)
-        self.port = self._server.server_address[1]
-        self.address = f"127.0.0.1:{self.port}"
         self._thread = threading.Thread(
             target=self._server.serve_forever, args=(0.05,), daemon=True
         )
@@ -241,6 +244,8 @@
             they ran.
         healthy: Whether its health check passes.
         headers: Further headers of all its answers.
+        crashes_on: Returns whether a request crashes it, by path.
+        crash_count: How often it has crashed.
     """
 
     def __init__(self, service, port=0, instance="i-1", born_ms=1_000):
@@ -257,10 +262,31 @@
         self.healthy = True
         self.headers = []
         self.connections = set()
+        self.crashes_on = lambda path: False
+        self.crash_count = 0
+        self._sockets = set()
+
+    def crash(self):
+        """Ends all connections and stops listening, as a process that dies."""
+        self.crash_count += 1
+        self.close()
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self._sockets.clear()
+
+    def restart(self):
+        """Starts a new lifetime with a new id after a crash."""
+        self._open(self.port)
+        self.instance = f"{self.instance}x"
+        self.born_ms += 1_000
+        self.sequence = 0
+        return self.start()
 
     def handle(self, call):
         body = call.body()
         self.connections.add(call.client_address)
+        self._sockets.add(call.connection)
         if call.path == "/health":
             status = 200 if self.healthy else 503
             call.reply(status, b"", [(PREFIX + "Instance-Id", self.instance)])
@@ -279,6 +305,10 @@
             "headers": {k.lower(): v for k, v in call.headers.items()},
         }
         self.runs.append(run)
+        if self.crashes_on(call.path):
+            self.crash()
+            call.close_connection = True
+            return
         if not self._wait_unblocked(call, request_id):
             return
         if self.respond is not None:
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -7,6 +7,7 @@
 from buckthorn_core import load_balancing
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import links
+from buckthorn_sidecar import suspicions
 
 LOAD = load_balancing.LoadReport(4, 0, 0, 0.1)
 
@@ -22,6 +23,7 @@
         lambda to, frame: reports.append((to.daemon, frame)),
         lambda to: None,
         lambda fed_by, frame: None,
+        suspicions.Suspicions(),
     )
 
 
