Close the writers of the tests of links before their event loop ends

Cause: three tests left StreamWriters open. One that is collected during ast.parse reports that its loop is closed; pytest's hook for this calls ast.parse itself, and Python 3.11.6 keeps the depth of recursion of a parse in a state that is shared between the two.

Change: the tests close their writers. The tests themselves are unchanged.

--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the connections between sidecars."""
 
 import asyncio
+import contextlib
 
 from buckthorn_core import directories
 from buckthorn_core import feed_trees
@@ -27,6 +28,30 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def serve(handler):
+    """Serves connections, and closes them before the event loop ends.
+
+    A writer that is collected later reports an error from wherever the
+    collection happens.
+    """
+    writers = []
+
+    async def handle(reader, writer):
+        writers.append(writer)
+        await handler(reader, writer)
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    try:
+        yield server
+    finally:
+        server.close()
+        for writer in writers:
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+
+
 def test_broadcast_skips_connection_without_transport():
     """Guards against a slot that is never released after an exception.
 
@@ -50,17 +75,16 @@
         await writer.drain()
 
     async def run(daemon):
-        server = await asyncio.start_server(send_hello, "127.0.0.1", 0)
-        reports = []
-        link = link_to(daemon, server, reports)
-        try:
-            await link.connect()
-            refused = False
-        except links.NotSentError as exc:
-            refused = exc.refused
-        link.close()
-        server.close()
-        return refused, [name for name, _ in reports]
+        async with serve(send_hello) as server:
+            reports = []
+            link = link_to(daemon, server, reports)
+            try:
+                await link.connect()
+                refused = False
+            except links.NotSentError as exc:
+                refused = exc.refused
+            link.close()
+            return refused, [name for name, _ in reports]
 
     assert asyncio.run(run("d-1")) == (True, [])
     assert asyncio.run(run("d-2")) == (False, ["d-2"])
@@ -78,30 +102,29 @@
         await writer.drain()
 
     async def run():
-        server = await asyncio.start_server(send_hello, "127.0.0.1", 0)
-        link = link_to("d-1", server, [])
-        waiting = asyncio.create_task(
-            link.call(frames.OutcomeQuery("a", "d-1/1"))
-        )
-        rerouted = asyncio.create_task(
-            link.call(
-                frames.OutcomeQuery("b", "d-1/1"), may_reroute=lambda: True
+        async with serve(send_hello) as server:
+            link = link_to("d-1", server, [])
+            waiting = asyncio.create_task(
+                link.call(frames.OutcomeQuery("a", "d-1/1"))
+            )
+            rerouted = asyncio.create_task(
+                link.call(
+                    frames.OutcomeQuery("b", "d-1/1"), may_reroute=lambda: True
+                )
             )
-        )
-        while len(link.pending) < 2:
+            while len(link.pending) < 2:
+                await asyncio.sleep(0.01)
+            now_s = asyncio.get_running_loop().time()
+            link.check(now_s + links.UNRESPONSIVE_AFTER_S - 0.1)
             await asyncio.sleep(0.01)
-        now_s = asyncio.get_running_loop().time()
-        link.check(now_s + links.UNRESPONSIVE_AFTER_S - 0.1)
-        await asyncio.sleep(0.01)
-        assert not rerouted.done()
-        link.check(now_s + links.UNRESPONSIVE_AFTER_S + 0.1)
-        await asyncio.wait((rerouted,), timeout=1.0)
-        assert isinstance(rerouted.exception(), links.LinkUnresponsiveError)
-        assert not waiting.done()
-        link.close()
-        await asyncio.wait((waiting,), timeout=1.0)
-        assert isinstance(waiting.exception(), links.LinkLostError)
-        server.close()
+            assert not rerouted.done()
+            link.check(now_s + links.UNRESPONSIVE_AFTER_S + 0.1)
+            await asyncio.wait((rerouted,), timeout=1.0)
+            assert isinstance(rerouted.exception(), links.LinkUnresponsiveError)
+            assert not waiting.done()
+            link.close()
+            await asyncio.wait((waiting,), timeout=1.0)
+            assert isinstance(waiting.exception(), links.LinkLostError)
 
     asyncio.run(run())
 
@@ -121,19 +144,18 @@
             await asyncio.sleep(0.01)
 
     async def run():
-        server = await asyncio.start_server(send_feed, "127.0.0.1", 0)
-        link = link_to("d-1", server, [])
-        waiting = asyncio.create_task(
-            link.call(frames.OutcomeQuery("a", "d-1/1"))
-        )
-        while not link.pending:
-            await asyncio.sleep(0.01)
-        sent_s = asyncio.get_running_loop().time()
-        await asyncio.sleep(0.5)
-        link.check(sent_s + links.DEAD_AFTER_S + 0.1)
-        await asyncio.wait((waiting,), timeout=1.0)
-        assert waiting.done()
-        assert isinstance(waiting.exception(), links.LinkLostError)
-        server.close()
+        async with serve(send_feed) as server:
+            link = link_to("d-1", server, [])
+            waiting = asyncio.create_task(
+                link.call(frames.OutcomeQuery("a", "d-1/1"))
+            )
+            while not link.pending:
+                await asyncio.sleep(0.01)
+            sent_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(0.5)
+            link.check(sent_s + links.DEAD_AFTER_S + 0.1)
+            await asyncio.wait((waiting,), timeout=1.0)
+            assert waiting.done()
+            assert isinstance(waiting.exception(), links.LinkLostError)
 
     asyncio.run(run())
