Let the ends of all connections arrive before a crash is ruled out

Two causes were found. And the test kept its lookups blocked until the crashing request had its answer, so that this request waited for lookups under suspicion, which waited for its end.

Change: the detector looks three times within 25 ms. The lookups of the test run for 0.2 s. The test asks for the same: all lookups are served, and again.

--- a/packages/sidecar/buckthorn_sidecar/crashes.py
+++ b/packages/sidecar/buckthorn_sidecar/crashes.py
@@ -15,8 +15,8 @@
 from buckthorn_sidecar import suspicions
 from buckthorn_sidecar import upstream_pools
 
-# Time for the ends of the other connections to arrive, in seconds.
-SETTLE_S = 0.005
+# Pauses in which the ends of the other connections arrive, in seconds.
+SETTLE_PAUSES_S = (0.005, 0.005, 0.015)
 # Pauses before the probes of the upstream's port, in seconds: a process that
 # ends closes its sockets one after the other.
 PROBE_PAUSES_S = (0.0, 0.05)
@@ -92,11 +92,15 @@
         self._detecting = None
 
     async def _detect(self) -> bool:
-        await asyncio.sleep(SETTLE_S)
+        for pause_s in SETTLE_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            if not self._pool.has_open_connections:
+                return await self._probe()
+        return False
+
+    async def _probe(self) -> bool:
         for pause_s in PROBE_PAUSES_S:
             await asyncio.sleep(pause_s)
-            if self._pool.has_open_connections:
-                return False
             if await self._pool.refuses_connections():
                 self._count()
                 return True
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -1,6 +1,9 @@
 """Requests that crash each instance that runs them, and those beside them."""
 
+import contextlib
+import functools
 import threading
+import time
 
 import pytest
 
@@ -12,6 +15,8 @@
 CRASHES = 2
 # Lookups through each host before the crashes.
 LOOKUPS = 60
+# How long a lookup runs beside the crashes, in seconds.
+RUN_S = 0.2
 
 
 @pytest.fixture
@@ -42,6 +47,12 @@
         instance.heartbeat(host.ports["control"])
 
 
+def answer_slowly(instance, call, run):
+    time.sleep(RUN_S)
+    with contextlib.suppress(OSError):
+        instance.answer(call, run)
+
+
 def crashes(instances):
     return sum(instance.crash_count for instance in instances)
 
@@ -140,7 +151,7 @@
     """Guards against refusing innocent requests that ran beside crashes."""
     hosts, instances = mesh
     for instance in instances:
-        instance.unblocked.clear()
+        instance.respond = functools.partial(answer_slowly, instance)
         instance.runs.clear()
     replies = {}
 
@@ -152,8 +163,6 @@
         thread.start()
     standins.wait_for(lambda: sum(len(i.runs) for i in instances) >= 8)
     assert hosts[0].call("first", POISON).status == 502
-    for instance in instances:
-        instance.unblocked.set()
     for thread in threads:
         thread.join(standins.WAIT_S)
     announce(hosts, instances)
