Record every leaving that is confirmed, whatever the process knew before

Callers saw: an instance whose leaving its daemon had confirmed took requests again after that daemon was killed, and bookings that ran when it exited were lost.

Cause: a leaving was recorded only if it changed the state of the current lifetime. A process that has just started has no current lifetime: `leave` changed nothing and `draining` counted as a new lifetime. Both were confirmed. Ruled out by the store's records: one that came too late or was not read; it was there, without the closed lifetime.

Change: each announcement that an instance leaves, also a repeated one or one of another lifetime, updates the record and waits for its write. The record holds the last four closed lifetimes. Notices of other daemons are recorded and passed on before the first announcement, too. The registrar compares what it reads behind its own last write with what it wants, so that a late write that takes effect after a newer one is corrected.

--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -7,6 +7,7 @@
 from buckthorn_core import errors
 from buckthorn_core import feed_trees
 from buckthorn_core import ids
+from buckthorn_core import lifetimes
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -28,6 +29,8 @@
             empty if none did. A daemon that restarts must not send requests to
             it, even if delayed announcements of it arrive.
         closed_born_ms: When that lifetime started, in ms since the epoch.
+        closed_before: Lifetimes that were closed before that one, the latest
+            at the end. A delayed announcement may come from any of them.
     """
 
     daemon: ids.DaemonId
@@ -39,6 +42,15 @@
     link_mbps: float = 0.0
     closed: ids.InstanceId = ids.InstanceId("")
     closed_born_ms: int = 0
+    closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
+
+    @property
+    def closings(self) -> list[lifetimes.ClosedLifetime]:
+        """All closed lifetimes of the record, the latest at the end."""
+        if not self.closed:
+            return []
+        latest = lifetimes.ClosedLifetime(self.closed, self.closed_born_ms)
+        return [*self.closed_before, latest]
 
 
 _encoder = msgspec.json.Encoder()
--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -14,6 +14,8 @@
 
 # Most ids of ended lifetimes that are remembered.
 MAX_ENDED = 256
+# Most closed lifetimes that a daemon's record holds.
+MAX_RECORDED = 4
 _UNKNOWN = ids.ServiceName("")
 
 
@@ -49,6 +51,19 @@
     warmup_left_s: float
 
 
+class ClosedLifetime(msgspec.Struct, frozen=True, array_like=True):
+    """A lifetime that must not get requests any more.
+
+    Attributes:
+        instance: Id of the instance.
+        born_ms: When the lifetime started at the latest, in ms since the
+            epoch.
+    """
+
+    instance: ids.InstanceId
+    born_ms: int
+
+
 class Change(enum.Enum):
     """Effect of an announcement on the known lifetime.
 
@@ -92,7 +107,11 @@
             old.instance,
             old.born_ms,
         )
-        if not same_lifetime or announcement.sequence <= old.sequence:
+        if not same_lifetime:
+            if announcement.state is not UpstreamState.READY:
+                self._remember_end(announcement.instance, announcement.born_ms)
+            return Change.NOTHING
+        if announcement.sequence <= old.sequence:
             return Change.NOTHING
         self.current = announcement
         if self.state is UpstreamState.READY is not announcement.state:
@@ -145,9 +164,7 @@
             ended_ms = known_ms if born_ms is None else born_ms
         else:
             ended_ms = now_ms if born_ms is None else born_ms
-        self._ended[instance] = max(ended_ms, self._ended.get(instance, -1))
-        while len(self._ended) > MAX_ENDED:
-            del self._ended[next(iter(self._ended))]
+        self._remember_end(instance, ended_ms)
         if old is None or not is_current or old.born_ms > ended_ms:
             return Change.NOTHING
         if self.state in (UpstreamState.GONE, state):
@@ -155,6 +172,34 @@
         self.state = state
         return Change.CLOSED
 
+    def _remember_end(self, instance: ids.InstanceId, born_ms: int) -> None:
+        if born_ms <= self._ended.get(instance, -1):
+            return
+        self._ended.pop(instance, None)
+        self._ended[instance] = born_ms
+        while len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+
+    def has_ended(self, instance: ids.InstanceId, born_ms: int) -> bool:
+        """Returns whether a lifetime is known to have ended."""
+        return born_ms <= self._ended.get(instance, -1)
+
+    def recently_closed(self) -> list[ClosedLifetime]:
+        """Returns the lifetimes that were closed last, the latest at the end.
+
+        A restarted daemon needs them to keep these lifetimes closed.
+        """
+        closed = dict(self._ended)
+        current = self.current
+        if current is not None and self.state is not UpstreamState.READY:
+            start_ms = self.last_start_ms(current.instance)
+            closed.pop(current.instance, None)
+            closed[current.instance] = start_ms
+        return [
+            ClosedLifetime(instance, born_ms)
+            for instance, born_ms in list(closed.items())[-MAX_RECORDED:]
+        ]
+
     def last_start_ms(self, instance: ids.InstanceId) -> int:
         """Returns when an instance's last known lifetime started at the latest.
 
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -147,9 +147,11 @@
     def _notice(self) -> stated_limits.UpstreamNotice | None:
         """Returns what the upstream has stated that others must keep to."""
         current = self.lifetimes.current
+        if current is None:
+            return self._notice_before_announcement()
         leaving = not self.lifetimes.accepts_requests
         limit_per_s = self.queue.limit.per_s
-        if current is None or not (leaving or limit_per_s is not None):
+        if not (leaving or limit_per_s is not None):
             return None
         return stated_limits.UpstreamNotice(
             current.instance,
@@ -158,6 +160,17 @@
             leaving,
         )
 
+    def _notice_before_announcement(
+        self,
+    ) -> stated_limits.UpstreamNotice | None:
+        """Returns the notice of a process that knows no current lifetime."""
+        closed = self.lifetimes.recently_closed()
+        if not closed:
+            return None
+        return stated_limits.UpstreamNotice(
+            closed[-1].instance, closed[-1].born_ms, None, True
+        )
+
     def _is_closed(self) -> bool:
         return (
             self._stopping
@@ -495,6 +508,8 @@
 
     def _close_lifetime(self, instance: ids.InstanceId, born_ms: int) -> None:
         """Closes admission for a lifetime that is leaving but still answers."""
+        if self.lifetimes.has_ended(instance, max(0, born_ms)):
+            return
         change = self.lifetimes.end(
             instance,
             born_ms if born_ms >= 0 else None,
@@ -503,7 +518,7 @@
         )
         if change is lifetimes.Change.CLOSED:
             self._on_lifetime_change(change)
-            self.on_upstream_closed()
+        self.on_upstream_closed()
 
     def _apply_limit(self, limit_per_s: float | None) -> None:
         """Applies a limit that the upstream has stated; None if it is over."""
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -149,8 +149,13 @@
             errors.LogError: The log didn't respond.
         """
 
-    async def append(self, topic: str, key: str, value: bytes) -> None:
-        """Appends a record; an empty value deletes the key.
+    async def append(self, topic: str, key: str, value: bytes) -> ids.Offset:
+        """Appends a record and returns its offset.
+
+        Args:
+            topic: The topic.
+            key: Key of the record.
+            value: The value; an empty one deletes the key.
 
         Raises:
             errors.LogError: The log didn't respond; the record may have been
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -146,7 +146,11 @@
             self.ingress.boot_id,
         )
         self._registrar = topic_followers.Registrar(
-            log, topics.members, cfg.daemon, self.directory
+            log,
+            topics.members,
+            cfg.daemon,
+            self.directory,
+            self._member_follower.table,
         )
         self._member_applier.on_local_record = self._on_local_record
         self._suspicion_recorder = topic_followers.SuspicionRecorder(
@@ -158,10 +162,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._closing_writes: set[asyncio.Task[None]] = set()
         self._tellings: set[asyncio.Task[None]] = set()
-        # The lifetime that was closed last. The directory has it only once the
-        # record has been written and read.
-        self._closed = ids.InstanceId("")
-        self._closed_born_ms = 0
         self._announced_slots: int | None = None
         self._stopping = False
         self.meter.register_gauge(
@@ -265,22 +265,30 @@
                 service=announcement.service,
             )
             return
-        change = self.ingress.announce(announcement)
-        await self._register(announcement.slots, change)
+        self.ingress.announce(announcement)
+        closing = announcement.state is not lifetimes.UpstreamState.READY
+        await self._register(announcement.slots, closing)
         await self._await_closing_writes()
 
     async def leave(
         self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
     ) -> None:
         """Handles the announcement of an upstream that it is leaving."""
-        change = self.ingress.leave(instance, born_ms, now_ms)
-        await self._register(self.ingress.queue.slots, change)
+        self.ingress.leave(instance, born_ms, now_ms)
+        await self._register(self._known_slots(), closing=True)
         await self._await_closing_writes()
 
+    def _known_slots(self) -> int:
+        """Returns the upstream's slots, also before it announces itself."""
+        if self._announced_slots is not None:
+            return self._announced_slots
+        local_record = self.directory.get(self._cfg.daemon)
+        return 0 if local_record is None else local_record.slots
+
     def _on_upstream_closed(self) -> None:
         """Records that the current lifetime of the upstream is leaving."""
         task = asyncio.create_task(
-            self._register(self.ingress.queue.slots, lifetimes.Change.CLOSED)
+            self._register(self._known_slots(), closing=True)
         )
         self._closing_writes.add(task)
         task.add_done_callback(self._closing_writes.discard)
@@ -290,27 +298,32 @@
         if self._closing_writes:
             await asyncio.wait(self._closing_writes)
 
-    async def _register(self, slots: int, change: lifetimes.Change) -> None:
+    async def _register(self, slots: int, closing: bool) -> None:
         """Updates this daemon's registration.
 
-        If a lifetime is leaving, this waits up to CLOSING_WRITE_TIMEOUT_S for
-        the write: after the acknowledgement the daemon's next process must
-        keep that lifetime closed too.
+        After the acknowledgement of a leaving the daemon's next process must
+        keep that lifetime closed, too, whatever this process knew of it. So
+        each such announcement waits up to CLOSING_WRITE_TIMEOUT_S for the
+        write, repeated ones included.
+
+        Args:
+            slots: The upstream's slots.
+            closing: Whether the upstream has announced that it leaves.
         """
-        current = self.ingress.lifetimes.current
-        closing = change is lifetimes.Change.CLOSED and current is not None
-        if closing and current is not None:
-            self._closed = current.instance
-            self._closed_born_ms = self.ingress.lifetimes.last_start_ms(
-                current.instance
-            )
         self._announced_slots = slots
         self._update_record(slots)
         if closing and not await self._registrar.flush(CLOSING_WRITE_TIMEOUT_S):
-            _logger.warning("closing_not_written", instance=self._closed)
+            closed = self.ingress.lifetimes.recently_closed()
+            _logger.warning(
+                "closing_not_written",
+                instance=closed[-1].instance if closed else "",
+            )
 
     def _update_record(self, slots: int) -> None:
         cfg = self._cfg
+        *before, latest = self.ingress.lifetimes.recently_closed() or [
+            lifetimes.ClosedLifetime(ids.InstanceId(""), 0)
+        ]
         self._registrar.set_desired(
             directories.Registration(
                 cfg.daemon,
@@ -320,23 +333,20 @@
                 cfg.region,
                 slots,
                 cfg.link_mbps,
-                self._closed,
-                self._closed_born_ms,
+                latest.instance,
+                latest.born_ms,
+                tuple(before),
             )
         )
 
     def _on_local_record(self) -> None:
         local_record = self.directory.get(self._cfg.daemon)
-        if local_record is not None and local_record.closed:
-            if not self._closed:
-                # Recorded by an earlier process.
-                self._closed = local_record.closed
-                self._closed_born_ms = local_record.closed_born_ms
-                if self._announced_slots is not None:
-                    self._update_record(self._announced_slots)
-            self.ingress.leave(
-                local_record.closed, local_record.closed_born_ms, 0
-            )
+        if local_record is not None:
+            # An earlier process may have recorded them.
+            for closed in local_record.closings:
+                self.ingress.leave(closed.instance, closed.born_ms, 0)
+            if self._announced_slots is not None:
+                self._update_record(self._announced_slots)
         self._registrar.reconcile()
 
     def _on_suspicion_change(
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -440,12 +440,26 @@
         topic: str,
         daemon: ids.DaemonId,
         directory: directories.Directory,
+        table: topic_tables.TopicTable,
     ):
+        """Creates the registrar.
+
+        Args:
+            log: The log.
+            topic: The topic of members.
+            daemon: This daemon.
+            directory: The members.
+            table: The records of the topic.
+        """
         self._log = log
         self._topic = topic
         self._daemon = daemon
         self._directory = directory
+        self._table = table
+        # Offset of the last record that this process has written.
+        self._written_offset = ids.Offset(-1)
         self._desired: directories.Registration | None = None
+        self._withdrawn = False
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -460,8 +474,8 @@
             self._task.cancel()
 
     def set_desired(self, registration: directories.Registration) -> None:
-        """Sets the desired content of the record."""
-        if registration != self._desired:
+        """Sets the desired content of the record, unless it is withdrawn."""
+        if registration != self._desired and not self._withdrawn:
             self._desired = registration
             self._written.clear()
             self._changed.set()
@@ -492,6 +506,7 @@
         Raises:
             errors.LogError: The log didn't respond.
         """
+        self._withdrawn = True
         self._desired = None
         if self._directory.get(self._daemon) is not None:
             await self._log.append(self._topic, self._daemon, b"")
@@ -501,16 +516,10 @@
             await self._changed.wait()
             self._changed.clear()
             desired = self._desired
-            current = self._directory.get(self._daemon)
-            # After a write the older record stays visible for a while. A
-            # missing record was removed by another daemon and is written again.
-            stale = self._written.is_set() and current is not None
-            if desired is None or current == desired or stale:
-                if current == desired:
-                    self._written.set()
+            if desired is None or self._is_recorded(desired):
                 continue
             try:
-                await self._log.append(
+                self._written_offset = await self._log.append(
                     self._topic, self._daemon, directories.encode(desired)
                 )
                 if desired == self._desired:
@@ -520,3 +529,20 @@
                 _logger.warning("registration_failed", error=str(exc))
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 self._changed.set()
+
+    def _is_recorded(self, desired: directories.Registration) -> bool:
+        """Returns whether the record has a content, as far as is known.
+
+        A write that was taken for lost may take effect seconds later and
+        replace a newer record, and another daemon may remove the record. So
+        what is read behind the last write counts, and only that.
+        """
+        if self._written.is_set() and (
+            (self._table.next_offset or 0) <= self._written_offset
+        ):
+            return True
+        if self._directory.get(self._daemon) != desired:
+            self._written.clear()
+            return False
+        self._written.set()
+        return True
--- a/tests/core/test_lifetimes.py
+++ b/tests/core/test_lifetimes.py
@@ -134,3 +134,36 @@
     assert tracker.state is DRAINING
     assert tracker.end("i-1", 1_000, 0) is Change.CLOSED
     assert tracker.state is GONE
+
+
+def closed(*steps):
+    return [tuple(c) for c in map(_fields, track(*steps).recently_closed())]
+
+
+def _fields(lifetime):
+    return lifetime.instance, lifetime.born_ms
+
+
+def test_each_leaving_is_to_be_recorded():
+    """Guards against a leaving that a restarted daemon doesn't know of.
+
+    It must be recorded whatever this process knew of the lifetime before.
+    """
+    assert closed(announcement(1)) == []
+    assert closed(("i-1", 1_000, 0)) == [("i-1", 1_000)]
+    assert closed(("i-1", None, 5_000)) == [("i-1", 5_000)]
+    assert closed(announcement(1, DRAINING)) == [("i-1", 1_000)]
+    assert closed(announcement(1), announcement(2, DRAINING)) == [
+        ("i-1", 1_000)
+    ]
+    newer = announcement(1, instance="i-2", born_ms=2_000)
+    assert closed(newer, ("i-1", 1_000, 0)) == [("i-1", 1_000)]
+    assert closed(newer, announcement(7, DRAINING)) == [("i-1", 1_000)]
+    assert closed(("i-1", 1_000, 0), newer, ("i-2", 2_000, 0)) == [
+        ("i-1", 1_000),
+        ("i-2", 2_000),
+    ]
+    many = [(f"i-{n}", n, 0) for n in range(1, 10)]
+    assert closed(*many) == [(f"i-{n}", n) for n in range(6, 10)]
+    # The record of an earlier process is read again and again.
+    assert closed(*many, *many[5:]) == [(f"i-{n}", n) for n in range(6, 10)]
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -180,6 +180,48 @@
     assert_closed_after_restart(host, instance)
 
 
+@pytest.mark.parametrize("announcement", ["draining", "leave"])
+def test_a_leaving_that_a_new_process_hears_first_outlives_it(
+    host, instance, announcement
+):
+    """Guards against an acknowledged leaving that is not recorded.
+
+    The instance leaves while its daemon is restarted, so that the new process
+    hears nothing of it before.
+    """
+    instance.healthy = False
+    host.kill()
+    host.start()
+    standins.wait_for(lambda: host.readiness() == 200)
+    control = host.ports["control"]
+    if announcement == "leave":
+        assert instance.leave(control) == 200
+    else:
+        assert instance.heartbeat(control, "draining") == 200
+    instance.healthy = True
+    assert_closed_after_restart(host, instance)
+
+
+def test_a_late_write_does_not_undo_a_recorded_leaving(host, instance, store):
+    """Guards against a record that a lost and late write has replaced."""
+    topic = "keyed.buckthorn-members"
+    older = store.newest(topic)[host.name]
+    assert instance.leave(host.ports["control"]) == 200
+    store.put(topic, host.name, older)
+    standins.wait_for(lambda: b'"i-1"' in store.newest(topic)[host.name])
+    assert_closed_after_restart(host, instance)
+
+
+def test_a_second_leaving_does_not_undo_the_first(host, instance):
+    """Guards against a record that holds the latest leaving only."""
+    control = host.ports["control"]
+    assert instance.leave(control) == 200
+    name, instance.instance = instance.instance, "i-0"
+    assert instance.leave(control) == 200
+    instance.instance = name
+    assert_closed_after_restart(host, instance)
+
+
 def test_a_closing_is_recorded_when_the_store_is_back(host, instance, store):
     """Guards against a closing that the next announcement drops.
 
