Check the health of an upstream before a new process trusts its announcement

Callers saw: an instance whose leaving was confirmed while the store was silent took requests again after all processes had been killed; bookings that ran when it exited were lost.

Cause: the confirmation promises something for the next process, but with the store silent and all processes killed nobody knows of it. The next process took a heartbeat from before the leaving for the present state. Ruled out: a record that the new process drops; there was none (closing_not_written).

Change: the instance outlives the processes and knows whether it leaves. A process that has just started opens admission only after a health check of the announced instance, or once it has run for longer than an announcement can be late. Daemons that connect tell it the path of the check, so that an upstream is used again while the store is down.

--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -4,6 +4,12 @@
 identified by an instance id and its start time; within a lifetime, the
 sequence number orders the announcements. Draining and leaving are final for a
 lifetime.
+
+A process that has just started doesn't know which leavings an earlier process
+acknowledged: it may have been killed before its record was written. Until such
+a process has seen the upstream healthy, or has run for longer than an
+announcement can be delayed, an announcement that the upstream is ready may be
+older than an acknowledged leaving, and no request is sent on it.
 """
 
 import enum
@@ -16,6 +22,9 @@
 MAX_ENDED = 256
 # Most closed lifetimes that a daemon's record holds.
 MAX_RECORDED = 4
+# Longest delay of an announcement, in seconds: one that arrives later than
+# this after the start of a process was sent in the time of that process.
+MAX_ANNOUNCEMENT_DELAY_S = 10.0
 _UNKNOWN = ids.ServiceName("")
 
 
@@ -82,17 +91,41 @@
     Attributes:
         current: Latest valid announcement of the newest lifetime.
         state: State of that lifetime; GONE if none is known.
+        verified: Whether announcements alone show that the upstream is not
+            leaving: this process has seen it healthy, or has run for longer
+            than MAX_ANNOUNCEMENT_DELAY_S.
     """
 
     def __init__(self) -> None:
         self.current: Announcement | None = None
         self.state = UpstreamState.GONE
+        self.verified = False
         self._ended: dict[ids.InstanceId, int] = {}
 
     @property
     def accepts_requests(self) -> bool:
         """Whether the upstream accepts new requests."""
-        return self.state is UpstreamState.READY
+        return self.verified and self.state is UpstreamState.READY
+
+    @property
+    def needs_health_check(self) -> bool:
+        """Whether only a health check is missing to send requests."""
+        return not self.verified and self.state is UpstreamState.READY
+
+    def verify(self, instance: ids.InstanceId) -> bool:
+        """Applies a successful health check of the announced upstream.
+
+        Args:
+            instance: Instance id in the answer.
+
+        Returns:
+            Whether it is the instance of the current lifetime.
+        """
+        current = self.current
+        if current is None or current.instance != instance:
+            return False
+        self.verified = True
+        return True
 
     def apply_announcement(self, announcement: Announcement) -> Change:
         """Applies an announcement."""
@@ -135,6 +168,7 @@
             instance, -1, -1, _UNKNOWN, address, slots, UpstreamState.READY, 0.0
         )
         self.state = UpstreamState.READY
+        self.verified = True
         return Change.NEW_LIFETIME
 
     def end(
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -181,7 +181,10 @@
         )
         self._suspicions = local.suspicions
         self.links = links.LinkPool(
-            self._on_report, self._on_unresponsive, local.suspicions
+            self._on_report,
+            self._on_unresponsive,
+            local.suspicions,
+            self._health_path,
         )
         self._service_selector = virtual_hosts.WeightedRoundRobin()
         self._caller_ages = caller_ages.CallerAges()
@@ -204,6 +207,11 @@
         self._service_selector.keep_only(routes)
         self._caller_ages.keep_only(routes)
 
+    def _health_path(self, service: ids.ServiceName) -> str:
+        version = self._holder.current
+        paths = {} if version is None else version.health_paths
+        return paths.get(service, "")
+
     def _on_report(
         self,
         to: directories.Registration,
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -153,9 +153,13 @@
 
     Attributes:
         suspicions: Requests whose quarantine the receiver may not know.
+        health_path: Path of the health check of the receiver's upstream;
+            empty if not known. A daemon that has just started needs it while
+            it can't read the configuration.
     """
 
     suspicions: list[entries.CrashSuspicion] = []
+    health_path: str = ""
 
 
 class Pong(msgspec.Struct, tag="P", array_like=True, frozen=True):
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
+import math
 import time
 import uuid
 
@@ -58,6 +59,8 @@
     Attributes:
         queue: The upstream's slots and the requests that wait for them.
         lifetimes: The upstream's current lifetime and state.
+        health_path_known: Set once the path of the upstream's health check is
+            known, from the configuration or from another daemon.
         version: The configuration version in force, for load reports.
         boot_id: Unique id of this process, prefixed with the daemon's id.
         suspicions: What this daemon knows of requests that crash upstreams.
@@ -101,6 +104,9 @@
         self._start_timer: asyncio.TimerHandle | None = None
         self.on_admission_change: Callable[[], None] = lambda: None
         self.on_upstream_closed: Callable[[], None] = lambda: None
+        self._started_s = math.inf
+        self._health_path = ""
+        self.health_path_known = asyncio.Event()
         self.version = 0
         self.boot_id = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
         self.queue = slot_queues.SlotQueue()
@@ -111,6 +117,10 @@
         """Whether no request is running or queued."""
         return not self._tasks
 
+    def start(self) -> None:
+        """Records the start of the process."""
+        self._started_s = asyncio.get_running_loop().time()
+
     def stop_admitting(self) -> None:
         """Refuses all new requests from now on."""
         self._stopping = True
@@ -149,7 +159,7 @@
         current = self.lifetimes.current
         if current is None:
             return self._notice_before_announcement()
-        leaving = not self.lifetimes.accepts_requests
+        leaving = self.lifetimes.state is not lifetimes.UpstreamState.READY
         limit_per_s = self.queue.limit.per_s
         if not (leaving or limit_per_s is not None):
             return None
@@ -211,6 +221,10 @@
             (old.instance, old.address)
             == (announcement.instance, announcement.address)
         )
+        loop = asyncio.get_running_loop()
+        age_s = loop.time() - self._started_s
+        if age_s > lifetimes.MAX_ANNOUNCEMENT_DELAY_S:
+            self.lifetimes.verified = True
         was_open = self.lifetimes.accepts_requests
         change = self.lifetimes.apply_announcement(announcement)
         if change is lifetimes.Change.NEW_LIFETIME:
@@ -247,25 +261,36 @@
         self._on_lifetime_change(change)
         return change
 
-    async def check_health(self, path: str, slots: int) -> None:
+    def set_health_path(self, path: str) -> None:
+        """Sets the path of the upstream's health check."""
+        self._health_path = path
+        self.health_path_known.set()
+
+    async def check_health(self, slots: int) -> None:
         """Opens admission if the upstream reports that it is healthy.
 
         Without this check, a daemon that starts beside a running upstream
-        would refuse requests until the next announcement.
+        would refuse requests until the next announcement, or take a late one
+        for a new one.
 
         Args:
-            path: Path of the health check.
-            slots: Number of concurrent requests to assume for the upstream.
+            slots: Number of concurrent requests to assume for the upstream if
+                it has not announced itself.
         """
         health = upstream_pools.Health(None, None)
         try:
             async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
-                health = await self._pool.check_health(path)
+                health = await self._pool.check_health(self._health_path)
         except (TimeoutError, errors.RequestError) as exc:
             _logger.info("upstream_health_unknown", error=str(exc))
         instance = health.instance
         if instance is None:
             return
+        if self.lifetimes.verify(instance):
+            if not self._has_response:
+                self._apply_limit(health.limit_per_s)
+            self._on_lifetime_change(lifetimes.Change.UPDATED)
+            return
         address = self._cfg.upstream_address
         change = self.lifetimes.infer_from_health(instance, slots, address)
         if change is lifetimes.Change.NEW_LIFETIME:
@@ -539,11 +564,16 @@
             )
             self._start_queued()
 
+    def _closed_reason(self) -> str:
+        if self.lifetimes.needs_health_check:
+            return "the upstream's health is not known yet"
+        return f"the upstream is {self.lifetimes.state.value}"
+
     def _rejection_reason(self) -> str | None:
         if self._stopping:
             return "this daemon is stopping"
         if not self.lifetimes.accepts_requests:
-            return f"the upstream is {self.lifetimes.state.value}"
+            return self._closed_reason()
         now_s = asyncio.get_running_loop().time()
         if self._circuit_breaker.should_reject(self.queue.mean_run_s, now_s):
             return "the upstream gives no sign of life"
@@ -711,7 +741,7 @@
         if current is None or not self.lifetimes.accepts_requests:
             raise errors.RequestError(
                 errors.Code.DRAINING,
-                f"the upstream is {self.lifetimes.state.value}",
+                self._closed_reason(),
                 REFUSAL_RETRY_AFTER_S,
             )
         return current.instance
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -50,6 +50,8 @@
 ]
 UnresponsiveCallback = Callable[[directories.Registration], None]
 FeedFrameCallback = Callable[[ids.DaemonId, frames.FeedFrame], None]
+# Returns the path of the health checks of a service; empty if not known.
+HealthPathLookup = Callable[[ids.ServiceName], str]
 
 
 class LinkLostError(Exception):
@@ -159,9 +161,11 @@
         on_unresponsive: UnresponsiveCallback,
         on_feed_frame: FeedFrameCallback,
         known_suspicions: suspicions.Suspicions,
+        health_path: HealthPathLookup,
     ):
         self.peer = peer
         self._suspicions = known_suspicions
+        self._health_path = health_path
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._on_feed_frame = on_feed_frame
@@ -228,11 +232,14 @@
             conn.transport.abort()
             raise ConnectionRefusedError(f"{found} listens there")
         self._conn = conn
-        known = self._suspicions.reached_limit()
-        if known:
-            # The process may have started since; it gets them before the first
-            # request.
-            conn.send(frames.Ping(known))
+        # The process may have started since; it gets this before the first
+        # request.
+        conn.send(
+            frames.Ping(
+                self._suspicions.reached_limit(),
+                self._health_path(self.peer.service),
+            )
+        )
         return conn
 
     def _has_expected_peer(self, conn: FrameConnection) -> bool:
@@ -412,10 +419,12 @@
         on_report: LoadReportCallback,
         on_unresponsive: UnresponsiveCallback,
         known_suspicions: suspicions.Suspicions,
+        health_path: HealthPathLookup,
     ):
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._suspicions = known_suspicions
+        self._health_path = health_path
         self.on_feed_frame: FeedFrameCallback = lambda daemon, frame: None
         self._links: dict[ids.DaemonId, Link] = {}
         self._check_task: asyncio.Task[None] | None = None
@@ -447,6 +456,7 @@
                 self._on_unresponsive,
                 self._on_feed_frame,
                 self._suspicions,
+                self._health_path,
             )
             self._links[registration.daemon] = link
         return link
@@ -536,6 +546,11 @@
             self._handler.cancel(frame.attempt)
         elif isinstance(frame, frames.Ping):
             self._handler.suspicions.merge(frame.suspicions)
+            if (
+                frame.health_path
+                and not self._handler.health_path_known.is_set()
+            ):
+                self._handler.set_health_path(frame.health_path)
             conn.send(self._handler.pong())
         elif isinstance(frame, frames.Subscribe):
             self.on_subscribe(conn, frame)
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -45,6 +45,8 @@
 # every 1.5 s.
 HEALTH_CHECKS = 3
 HEALTH_CHECK_INTERVAL_S = 0.25
+# How long an acknowledgement waits for a health check, in seconds.
+HEALTH_CHECK_WAIT_S = 0.4
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -162,6 +164,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._closing_writes: set[asyncio.Task[None]] = set()
         self._tellings: set[asyncio.Task[None]] = set()
+        self._health_check: asyncio.Task[None] | None = None
         self._announced_slots: int | None = None
         self._stopping = False
         self.meter.register_gauge(
@@ -201,6 +204,7 @@
         Raises:
             OSError: An address can't be listened on.
         """
+        self.ingress.start()
         self._egress.links.start()
         await self._link_server.start()
         await self.callers.start()
@@ -209,7 +213,7 @@
         self._registrar.start()
         self._suspicion_recorder.start()
         self._tasks = [
-            asyncio.create_task(self._check_health()),
+            asyncio.create_task(self._check_health_at_start()),
         ]
         self._feed.start()
         _logger.info("started", daemon=self._cfg.daemon)
@@ -245,6 +249,8 @@
         """Stops immediately, without waiting for requests in flight."""
         for task in (*self._tasks, *self._closing_writes, *self._tellings):
             task.cancel()
+        if self._health_check is not None:
+            self._health_check.cancel()
         self._feed.close()
         self._registrar.close()
         self._suspicion_recorder.close()
@@ -269,6 +275,7 @@
         closing = announcement.state is not lifetimes.UpstreamState.READY
         await self._register(announcement.slots, closing)
         await self._await_closing_writes()
+        await self._await_health_check()
 
     async def leave(
         self, instance: ids.InstanceId, born_ms: int | None, now_ms: int
@@ -380,22 +387,39 @@
         with contextlib.suppress(links.NotSentError):
             await link.tell(changed)
 
-    async def _check_health(self) -> None:
-        """Checks the health of an upstream that is already running."""
+    async def _check_health_at_start(self) -> None:
+        """Checks the health of an upstream that is already running.
+
+        A daemon without a record has had no process before.
+        """
         await self._member_follower.synced.wait()
-        await self._configuration_follower.synced.wait()
+        if self.directory.get(self._cfg.daemon) is not None:
+            await self._check_health()
+
+    async def _check_health(self) -> None:
+        """Checks the health of the upstream until admission opens."""
+        await self.ingress.health_path_known.wait()
+        tracker = self.ingress.lifetimes
         for _ in range(HEALTH_CHECKS):
-            version = self.holder.current
-            local_record = self.directory.get(self._cfg.daemon)
-            known = self.ingress.lifetimes.current is not None
-            if version is None or local_record is None or known:
+            if tracker.current is not None and not tracker.needs_health_check:
                 return
-            path = version.health_paths.get(self._cfg.service)
-            if path is None:
+            await self.ingress.check_health(self._known_slots())
+            if tracker.accepts_requests:
                 return
-            await self.ingress.check_health(path, local_record.slots)
             await asyncio.sleep(HEALTH_CHECK_INTERVAL_S)
 
+    async def _await_health_check(self) -> None:
+        """Checks the health of an upstream whose announcement may be late.
+
+        The acknowledgement waits for the first result, so that an upstream
+        that has it gets requests from then on.
+        """
+        if not self.ingress.lifetimes.needs_health_check:
+            return
+        if self._health_check is None or self._health_check.done():
+            self._health_check = asyncio.create_task(self._check_health())
+        await asyncio.wait((self._health_check,), timeout=HEALTH_CHECK_WAIT_S)
+
     async def handle_readiness(self, req: http1.Request) -> http1.Response:
         """Returns 200 if callers may send requests here, else 503."""
         del req
@@ -409,6 +433,9 @@
     def _on_version(self, version: virtual_hosts.Version) -> None:
         self.callers.limits = version.limits
         self.ingress.version = version.number
+        path = version.health_paths.get(self._cfg.service)
+        if path is not None:
+            self.ingress.set_health_path(path)
         names = {route.name for route in version.routes}
         self.ingress.keep_only(names)
         self._egress.keep_only(names)
--- a/packages/sidecar/buckthorn_sidecar/upstream_pools.py
+++ b/packages/sidecar/buckthorn_sidecar/upstream_pools.py
@@ -53,7 +53,8 @@
     """Result of a health check.
 
     Attributes:
-        instance: Id of the instance if it is healthy, else None.
+        instance: Id of the instance if it is healthy and not leaving, else
+            None.
         limit_per_s: The request limit that it states; None without a limit.
     """
 
@@ -146,10 +147,10 @@
         conn = await self.acquire()
         data = http1.encode_request("GET", path, [("Host", self._address)], b"")
         exchange = await self.exchange(conn, "GET", data, ids.RequestId(""))
-        return Health(
-            self._mesh_headers.read_health(exchange.response),
-            exchange.metadata.limit_per_s,
-        )
+        instance = self._mesh_headers.read_health(exchange.response)
+        if exchange.metadata.leaving:
+            instance = None
+        return Health(instance, exchange.metadata.limit_per_s)
 
     async def exchange(
         self,
--- a/tests/core/test_lifetimes.py
+++ b/tests/core/test_lifetimes.py
@@ -136,6 +136,25 @@
     assert tracker.state is GONE
 
 
+def test_a_new_process_needs_a_health_check():
+    """Guards against a late announcement of an upstream that has left.
+
+    An earlier process acknowledged it, and was killed before its record was
+    written.
+    """
+    tracker = track(announcement(7))
+    assert not tracker.accepts_requests
+    assert tracker.needs_health_check
+    assert not tracker.verify("i-2")
+    assert tracker.needs_health_check
+    assert tracker.verify("i-1")
+    assert tracker.accepts_requests
+    # This process has heard all announcements of later lifetimes.
+    tracker.apply_announcement(announcement(1, instance="i-2", born_ms=2_000))
+    assert tracker.accepts_requests
+    assert not track(announcement(1, DRAINING)).needs_health_check
+
+
 def closed(*steps):
     return [tuple(c) for c in map(_fields, track(*steps).recently_closed())]
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -135,6 +135,7 @@
 
     Attributes:
         down: Whether calls are answered with status 503.
+        silent: Whether calls get no answer and are not executed.
         first: Offset of the first record by topic; earlier ones have expired.
         calls: Number of calls by name.
         on_append: Returns the value to store for a key and value that a
@@ -144,6 +145,7 @@
     def __init__(self, port=0):
         super().__init__(port)
         self.down = False
+        self.silent = False
         self.first = collections.Counter()
         self.on_append = lambda key, value: value
         self.calls = collections.Counter()
@@ -172,6 +174,10 @@
         fields = dict(urllib.parse.parse_qsl(query))
         name = path.rpartition("/")[2]
         self.calls[name] += 1
+        if self.silent:
+            time.sleep(WAIT_S)
+            call.close_connection = True
+            return
         if self.down:
             call.reply(503, b"{}")
             return
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -222,6 +222,28 @@
     assert_closed_after_restart(host, instance)
 
 
+@pytest.mark.parametrize("announcement", ["draining", "leave"])
+@pytest.mark.parametrize("outage", ["down", "silent"])
+def test_a_leaving_confirmed_without_the_store_outlives_a_kill(
+    host, instance, store, outage, announcement
+):
+    """Guards against a confirmed leaving that no one knows any more.
+
+    The store takes no record, and the daemon is killed before it does. No
+    other daemon has heard of the leaving.
+    """
+    control = host.ports["control"]
+    setattr(store, outage, True)
+    instance.healthy = False
+    if announcement == "leave":
+        assert instance.leave(control) == 200
+    else:
+        assert instance.heartbeat(control, "draining") == 200
+    host.kill()
+    setattr(store, outage, False)
+    assert_closed_after_restart(host, instance)
+
+
 def test_a_closing_is_recorded_when_the_store_is_back(host, instance, store):
     """Guards against a closing that the next announcement drops.
 
@@ -519,6 +541,23 @@
     assert len([t for t in tries if t.startswith("h-9:")]) == 1
 
 
+def test_a_restarted_host_is_used_while_the_store_is_down(pair, store):
+    """Guards against a host that waits for the store to check its instance.
+
+    The path of the health check is part of the configuration, which the new
+    process can't read.
+    """
+    host, other, far, record = pair
+    store.put("keyed.op", "config", record)
+    standins.wait_for(lambda: host.call("q-0", "/orders/1").status == 200)
+    store.down = True
+    other.kill()
+    other.start()
+    assert far.heartbeat(other.ports["control"]) == 200
+    standins.wait_for(lambda: host.call("q-1", "/orders/1").status == 200)
+    assert other.readiness() == 503
+
+
 def test_requests_go_to_a_host_of_their_service(pair, store):
     """Guards against a service that only callers on its own host reach."""
     host, _, far, record = pair
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -25,6 +25,7 @@
         lambda to: None,
         lambda fed_by, frame: None,
         suspicions.Suspicions(),
+        lambda service: "/health",
     )
 
 
