Reject odd records and announcements of other writers

Reported by operators of similar systems: another writer left one odd entry among those of the instances, and the machines that read the list ended, or stopped following it.

It could happen here, in four ways. A number of slots of hundreds of digits was accepted and can't be turned into a float where loads are compared. A start time beyond 64 bits can't be sent in a message. A port out of range raised OverflowError or ValueError at each connection, which callers saw as 500. An empty record in a read ended the read each time. An announcement of the host's instance could have the same contents; one with a start far in the future outranked the instance's own ones for good.

Change: values of other writers are decoded in one place, with bounds of numbers, a check of the address and of the depth. A record that still raises is passed over and logged (record_failed); those behind it are applied.

The record in test_directories gets an address that can be connected to; the test asks for the same.

--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from buckthorn_core import errors
 from buckthorn_core import feed_trees
+from buckthorn_core import foreign_values
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
 
@@ -38,10 +38,10 @@
     service: ids.ServiceName
     site: ids.SiteName
     region: ids.RegionName
-    slots: int
-    link_mbps: float = 0.0
+    slots: foreign_values.Slots
+    link_mbps: foreign_values.LinkRate = 0.0
     closed: ids.InstanceId = ids.InstanceId("")
-    closed_born_ms: int = 0
+    closed_born_ms: lifetimes.BornMs = 0
     closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
 
     @property
@@ -68,10 +68,9 @@
     Raises:
         errors.ConfigError: The value isn't a registration.
     """
-    try:
-        return _decoder.decode(value)
-    except msgspec.DecodeError as exc:
-        raise errors.ConfigError(errors.Code.BAD_RECORD, str(exc)) from exc
+    registration = foreign_values.decode(_decoder, value)
+    foreign_values.check_address(registration.address)
+    return registration
 
 
 class Directory:
--- a/packages/core/buckthorn_core/entries.py
+++ b/packages/core/buckthorn_core/entries.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from buckthorn_core import foreign_values
 from buckthorn_core import ids
 
 
@@ -155,9 +156,9 @@
     """
 
     fingerprint: ids.Fingerprint
-    incarnation: int
-    revision: int
-    crashes: int
+    incarnation: foreign_values.Count
+    revision: foreign_values.Count
+    crashes: foreign_values.Count
 
     @property
     def key(self) -> str:
--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -13,9 +13,11 @@
 """
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+from buckthorn_core import foreign_values
 from buckthorn_core import ids
 
 # Most ids of ended lifetimes that are remembered.
@@ -25,6 +27,8 @@
 # Longest delay of an announcement, in seconds: one that arrives later than
 # this after the start of a process was sent in the time of that process.
 MAX_ANNOUNCEMENT_DELAY_S = 10.0
+# Start of a lifetime in ms since the epoch; -1 if not known.
+BornMs = Annotated[int, msgspec.Meta(ge=-1, le=foreign_values.MAX_COUNT)]
 _UNKNOWN = ids.ServiceName("")
 
 
@@ -70,7 +74,7 @@
     """
 
     instance: ids.InstanceId
-    born_ms: int
+    born_ms: BornMs
 
 
 class Change(enum.Enum):
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -198,7 +198,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(connecting)
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # An address may also be one that can't be connected to at all.
             refused = isinstance(exc, ConnectionRefusedError)
             raise NotSentError(
                 f"{self.peer.address}: {exc!r}", refused
--- a/packages/sidecar/buckthorn_sidecar/suspicions.py
+++ b/packages/sidecar/buckthorn_sidecar/suspicions.py
@@ -19,6 +19,7 @@
 from buckthorn_adapters import http1
 from buckthorn_core import entries
 from buckthorn_core import errors
+from buckthorn_core import foreign_values
 from buckthorn_core import gossip
 from buckthorn_core import ids
 from buckthorn_core import quarantines
@@ -75,10 +76,7 @@
     Raises:
         errors.ConfigError: The value isn't a suspicion.
     """
-    try:
-        return _decoder.decode(value)
-    except (msgspec.DecodeError, RecursionError) as exc:
-        raise errors.ConfigError(errors.Code.BAD_RECORD, str(exc)) from exc
+    return foreign_values.decode(_decoder, value)
 
 
 class Suspicions:
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -146,11 +146,21 @@
         else:
             applied = self.table.put(records, end)
         for record in applied:
-            self._on_record(record)
+            self._apply_record(record)
         if applied or start is None:
             self.on_records(self, None if start is None else previous_end)
         return True
 
+    def _apply_record(self, record: topic_tables.Record) -> None:
+        """Applies a record; one that can't be applied must not stop others."""
+        try:
+            self._on_record(record)
+        except Exception:
+            self._meter.count("buckthorn_bad_records", kind="unexpected")
+            _logger.exception(
+                "record_failed", topic=self.topic, offset=record.offset
+            )
+
     async def _follow(self) -> None:
         while True:
             await self._may_read.wait()
--- a/tests/core/test_directories.py
+++ b/tests/core/test_directories.py
@@ -7,7 +7,9 @@
 
 
 def registration(daemon="d-1", service="stock"):
-    return directories.Registration(daemon, "1:1", service, "s", "r", 18)
+    return directories.Registration(
+        daemon, "10.0.0.1:80", service, "s", "r", 18
+    )
 
 
 def test_encoded_registration_decodes_to_the_same():
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -558,6 +558,90 @@
     assert other.readiness() == 503
 
 
+def odd_record(**changes):
+    """Returns the record of a daemon with changed fields."""
+    record = {
+        "daemon": "h-9",
+        "address": "127.0.0.1:1",
+        "service": "stock",
+        "site": "z1",
+        "region": "r1",
+        "slots": 18,
+        **changes,
+    }
+    return json.dumps(record).encode()
+
+
+HUGE = 10**400
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        odd_record(extra=None).replace(b"null", b"[" * 50_000),
+        odd_record(slots=HUGE),
+        odd_record(slots=-1),
+        odd_record(closed="i-1", closed_born_ms=HUGE),
+        odd_record(address="127.0.0.1:99999"),
+        odd_record(address=f"127.0.0.1:{HUGE}"),
+        odd_record(address="127.0.0.1"),
+        odd_record(address=":"),
+    ],
+)
+def test_an_odd_record_of_another_writer_harms_no_one(
+    host, instance, store, value
+):
+    """Guards against a list of members that one entry makes unreadable."""
+    topic = "keyed.buckthorn-members"
+    # One arrives while the daemon follows, one is there when it starts.
+    store.put(topic, "h-9", value)
+    store.put(topic, "h-8", odd_record(daemon="h-8"))
+    standins.wait_for(lambda: "buckthorn_members 2" in host.metrics())
+    for n in range(20):
+        assert host.call(f"q-{n}").status == 200
+    host.kill()
+    host.start()
+    standins.wait_for(lambda: host.readiness() == 200)
+    standins.wait_for(lambda: "buckthorn_members 2" in host.metrics())
+    standins.wait_for(lambda: host.call("q-20").status == 200)
+    assert not host.events("follower_failed")
+    assert not host.events("request_handler_failed")
+
+
+def heartbeat_body(**changes):
+    body = {
+        "address": "127.0.0.1:1",
+        "born": 2_000,
+        "info": {"service": "stock", "capacity": 4},
+        "status": {"state": "ready", "sequence": 99},
+    }
+    for name, value in changes.items():
+        part = next((p for p in ("info", "status") if name in body[p]), None)
+        (body[part] if part else body)[name] = value
+    return json.dumps(body).encode()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        heartbeat_body(extra=None).replace(b"null", b"[" * 50_000),
+        heartbeat_body(capacity=HUGE),
+        heartbeat_body(sequence=HUGE),
+        heartbeat_body(born=HUGE),
+        heartbeat_body(born=2**52),
+        heartbeat_body(address="127.0.0.1:99999"),
+    ],
+)
+def test_an_odd_heartbeat_of_another_writer_changes_nothing(
+    host, instance, body
+):
+    """Guards against a heartbeat that takes the place of the instance's own."""
+    control = host.ports["control"]
+    assert instance._call(control, "instances.heartbeat", body) == 400
+    assert host.call("q-1").status == 200
+    assert not host.events("request_handler_failed")
+
+
 def test_requests_go_to_a_host_of_their_service(pair, store):
     """Guards against a service that only callers on its own host reach."""
     host, _, far, record = pair
