Show that repeated refusals and cut heads do no harm

Two faults that operators of similar systems reported: an instance wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran; an instance stopped in the middle of its answer's head, and callers got a 200 with an empty body.

Neither can happen here. An answer counts only with the id of the request that waits, and an answer whose head is incomplete never ends with its connection.

--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -305,3 +305,23 @@
     assert caught.value.code is errors.Code.BODIES_FULL
     budget.release(req)
     assert budget.used == 0
+
+
+CUT_HEADS = [
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("head", CUT_HEADS)
+def test_a_response_whose_head_is_cut_is_incomplete(head):
+    """Guards against a 200 with an empty body for a head without its end."""
+
+    async def run():
+        for end in range(len(head)):
+            with pytest.raises(http1.IncompleteResponseError):
+                await _exchange(head[:end])
+
+    asyncio.run(run())
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -412,6 +412,38 @@
     assert host.events("foreign_answer")
 
 
+@pytest.mark.parametrize("named", [True, False])
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_repeated_refusal_is_not_taken_for_the_next_answer(
+    host, instance, status, named
+):
+    """Guards against 'not run' for a booking that an instance runs.
+
+    The instance writes an earlier refusal once more on a kept connection, with
+    the id of the refused request or without any.
+    """
+
+    def refuse(call, request_id):
+        headers = [(PREFIX + "Not-Executed", "1")]
+        if request_id is not None:
+            headers.append((PREFIX + "Request-Id", request_id))
+        call.reply(status, b"", headers)
+
+    instance.respond = lambda call, run: refuse(call, run["id"])
+    assert host.call("q-0", "/book/0", "POST", b"x").status == 503
+
+    def answer_behind_a_copy(call, run):
+        refuse(call, "q-0" if named else None)
+        instance.answer(call, run)
+
+    instance.respond = answer_behind_a_copy
+    connections = len(instance.connections)
+    reply = host.call("q-1", "/book/1", "POST", b"x")
+    assert len(instance.connections) == connections
+    assert reply.status == (200 if named else 502)
+    assert instance.run_count("q-1") == 1
+
+
 def test_an_answer_delimited_by_its_connections_end_is_complete(host, instance):
     """Guards against treating an answer without a length as incomplete."""
 
