Count requests for a crash in one place for both daemons

The sidecar had its own copy of what the product's daemon keeps of requests in flight: which were there when a connection was lost, how long they count, and that each run counts once. It is decision logic and stands in core now (in_flight_requests); the two detectors keep what differs, how a crash is noticed. A request that is completed after it has counted clears its suspicion in the sidecar, too, as it did in the daemon.

SuspectRuns has acquire and release in place of a context manager, which each request had to pass through an exit stack.

--- a/packages/daemon/buckthorn_daemon/crashes.py
+++ b/packages/daemon/buckthorn_daemon/crashes.py
@@ -7,31 +7,19 @@
 import loguru
 
 from buckthorn_core import ids
+from buckthorn_core import in_flight_requests
 from buckthorn_daemon import quarantine_guard
 
 # A crashing process closes its sockets one after the other: a second probe
 # finds the listening socket closed if the first one came too early.
 PROBE_PAUSES_S = (0.0, 0.05)
 PROBE_TIMEOUT_S = 0.2
-# Requests on connections that were lost at most this long before missing
-# announcements are detected count towards that crash: 3 s
-# (ingress.ANNOUNCE_TIMEOUT_S) plus the period of the check.
-LOST_REQUEST_KEEP_S = 4.0
 
 _logger = loguru.logger.bind(module=__name__)
 
 
 class InFlightRequest:
-    """A request that may have reached the upstream.
-
-    Attributes:
-        fingerprint: Its fingerprint; None if the sender gave none.
-        counted: Whether a crash has been counted for it.
-    """
-
-    def __init__(self, fingerprint: ids.Fingerprint | None):
-        self.fingerprint = fingerprint
-        self.counted = False
+    """A request that may have reached the upstream."""
 
 
 class CrashDetector:
@@ -45,29 +33,32 @@
     def __init__(self, guard: quarantine_guard.Guard):
         self._guard = guard
         self._lock = threading.Lock()
-        self._in_flight: set[InFlightRequest] = set()
-        self._lost: dict[InFlightRequest, float] = {}
+        self._requests: in_flight_requests.InFlightRequests[InFlightRequest] = (
+            in_flight_requests.InFlightRequests()
+        )
 
     def begin(self, fingerprint: ids.Fingerprint | None) -> InFlightRequest:
-        """Registers a request, just before its first byte is sent."""
-        request = InFlightRequest(fingerprint)
-        with self._lock:
-            self._in_flight.add(request)
+        """Registers a request, just before its first byte is sent.
+
+        Args:
+            fingerprint: Its fingerprint; None if the sender gave none.
+        """
+        request = InFlightRequest()
+        if fingerprint is not None:
+            with self._lock:
+                self._requests.begin(request, fingerprint)
         return request
 
     def end(self, request: InFlightRequest) -> None:
         """Unregisters a request that is no longer in flight."""
         with self._lock:
-            self._in_flight.discard(request)
+            self._requests.end(request)
 
     def complete(self, request: InFlightRequest) -> None:
         """Records that a request has got a complete response."""
         with self._lock:
-            for other in [
-                r for r in self._lost if r.fingerprint == request.fingerprint
-            ]:
-                del self._lost[other]
-        self._guard.complete(request.fingerprint)
+            fingerprint = self._requests.complete(request)
+        self._guard.complete(fingerprint)
 
     def on_connection_lost(self, port: int) -> bool:
         """Determines whether a connection was lost in a crash.
@@ -78,11 +69,8 @@
         Returns:
             Whether the upstream no longer accepts connections.
         """
-        now_s = time.monotonic()
         with self._lock:
-            for request in self._in_flight:
-                self._lost.setdefault(request, now_s)
-            self._drop_expired(now_s)
+            self._requests.mark_lost(time.monotonic())
         for pause_s in PROBE_PAUSES_S:
             time.sleep(pause_s)
             if refuses_connections(port):
@@ -93,23 +81,12 @@
     def on_announcements_missing(self) -> None:
         """Counts a crash after the upstream's announcements have stopped."""
         with self._lock:
-            self._drop_expired(time.monotonic())
+            self._requests.drop_expired(time.monotonic())
         self._count_crashes()
 
-    def _drop_expired(self, now_s: float) -> None:
-        for request, lost_s in list(self._lost.items()):
-            if now_s - lost_s > LOST_REQUEST_KEEP_S:
-                del self._lost[request]
-
     def _count_crashes(self) -> None:
         with self._lock:
-            lost = [r for r in self._lost if not r.counted]
-            self._lost.clear()
-            for request in lost:
-                request.counted = True
-        fingerprints = {
-            r.fingerprint for r in lost if r.fingerprint is not None
-        }
+            fingerprints = self._requests.take_lost()
         if fingerprints:
             self._guard.count_crash(fingerprints)
             _logger.warning("upstream_crashed", in_flight=len(fingerprints))
--- a/packages/sidecar/buckthorn_sidecar/crashes.py
+++ b/packages/sidecar/buckthorn_sidecar/crashes.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-import contextlib
 
 import loguru
 
 from buckthorn_core import ids
+from buckthorn_core import in_flight_requests
 from buckthorn_sidecar import suspicions
 from buckthorn_sidecar import upstream_pools
 
@@ -20,10 +19,6 @@
 # Pauses before the probes of the upstream's port, in seconds: a process that
 # ends closes its sockets one after the other.
 PROBE_PAUSES_S = (0.0, 0.05)
-# Requests that were in flight at a lost connection count for a crash if a new
-# lifetime begins within this time, in seconds. The upstream then was back on
-# its port before it was probed.
-LOST_REQUEST_KEEP_S = 4.0
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -39,47 +34,42 @@
         self._pool = pool
         self._suspicions = known_suspicions
         # The requests in flight by attempt id.
-        self._in_flight: dict[str, ids.Fingerprint] = {}
-        # Requests whose connection may have been lost in a crash, with the
-        # time of the loss.
-        self._lost: dict[str, tuple[float, ids.Fingerprint]] = {}
+        self._requests: in_flight_requests.InFlightRequests[str] = (
+            in_flight_requests.InFlightRequests()
+        )
         self._detecting: asyncio.Task[bool] | None = None
 
     def begin(self, attempt: str, digest: ids.Fingerprint) -> None:
         """Registers a request, just before its first byte is sent."""
-        self._in_flight[attempt] = digest
+        self._requests.begin(attempt, digest)
 
     def end(self, attempt: str) -> None:
         """Unregisters a request that is not in flight any more."""
-        self._in_flight.pop(attempt, None)
+        self._requests.end(attempt)
 
     def complete(self, attempt: str) -> None:
         """Records that a request has got a complete response."""
-        digest = self._in_flight.pop(attempt, None)
-        if digest is None:
-            return
-        for other, (_, lost) in list(self._lost.items()):
-            if lost == digest:
-                del self._lost[other]
-        self._suspicions.complete(digest)
+        digest = self._requests.complete(attempt)
+        if digest is not None:
+            self._suspicions.complete(digest)
 
     async def on_connection_lost(self) -> bool:
         """Returns whether a connection of a request was lost in a crash.
 
         Returns once the crash is counted.
         """
-        now_s = asyncio.get_running_loop().time()
-        self._drop_old(now_s)
-        for attempt, digest in self._in_flight.items():
-            self._lost.setdefault(attempt, (now_s, digest))
+        self._requests.mark_lost(asyncio.get_running_loop().time())
         if self._detecting is None:
             self._detecting = asyncio.create_task(self._detect())
             self._detecting.add_done_callback(self._on_detected)
         return await asyncio.shield(self._detecting)
 
     def on_new_lifetime(self) -> None:
-        """Counts a crash after which the upstream was back at once."""
-        self._drop_old(asyncio.get_running_loop().time())
+        """Counts a crash after which the upstream was back at once.
+
+        It was then back on its port before the port was probed.
+        """
+        self._requests.drop_expired(asyncio.get_running_loop().time())
         self._count()
 
     def close(self) -> None:
@@ -106,16 +96,8 @@
                 return True
         return False
 
-    def _drop_old(self, now_s: float) -> None:
-        for attempt, (lost_s, _) in list(self._lost.items()):
-            if now_s - lost_s > LOST_REQUEST_KEEP_S:
-                del self._lost[attempt]
-
     def _count(self) -> None:
-        digests = {digest for _, digest in self._lost.values()}
-        for attempt in self._lost:
-            self._in_flight.pop(attempt, None)
-        self._lost.clear()
+        digests = self._requests.take_lost()
         if digests:
             _logger.warning("upstream_crashed", in_flight=len(digests))
             self._suspicions.count_crash(digests)
@@ -134,11 +116,8 @@
         self._count = 0
         self._waiters: list[asyncio.Future[None]] = []
 
-    @contextlib.asynccontextmanager
-    async def run(
-        self, digest: ids.Fingerprint, start_by_s: float
-    ) -> AsyncIterator[None]:
-        """Holds off other requests under suspicion.
+    async def acquire(self, digest: ids.Fingerprint, start_by_s: float) -> None:
+        """Waits until no other request under suspicion runs.
 
         Args:
             digest: The request; copies of it may run beside each other.
@@ -154,13 +133,13 @@
                 await fut
         self._running = digest
         self._count += 1
-        try:
-            yield
-        finally:
-            self._count -= 1
-            if self._count == 0:
-                self._running = None
-                self._wake()
+
+    def release(self) -> None:
+        """Ends a run."""
+        self._count -= 1
+        if self._count == 0:
+            self._running = None
+            self._wake()
 
     def _wake(self) -> None:
         waiters, self._waiters = self._waiters, []
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
 import math
 import time
 import uuid
@@ -384,9 +383,9 @@
         responded = failed = False
         aborted = True
         started_s = loop.time()
-        suspect_run = contextlib.AsyncExitStack()
+        suspected = False
         try:
-            await self._await_suspect_run(req, deadline_s, suspect_run)
+            suspected = await self._await_suspect_run(req, deadline_s)
             ticket = await self._admit(req, started_s, deadline_s)
             conn, data = await self._prepare(req, deadline_s)
             arrived = True
@@ -405,11 +404,7 @@
                     conn, req.method, data, req.request_id
                 )
             responded = True
-            if not (
-                exchange.metadata.not_run or exchange.metadata.wrong_instance
-            ):
-                self._crash_detector.complete(req.attempt)
-            self._apply_statements(lifetime, exchange.metadata)
+            self._record_response(req, lifetime, exchange.metadata)
             status = exchange.response.status
             # On 504 the upstream itself aborted the run.
             aborted = status == _GATEWAY_TIMEOUT
@@ -449,39 +444,39 @@
                 ran_s = loop.time() - started_s if ran else None
                 self.queue.release(ticket, ran_s, aborted)
                 self._start_queued()
-            await suspect_run.aclose()
+            if suspected:
+                self._suspect_runs.release()
 
     async def _await_suspect_run(
-        self,
-        req: frames.Request,
-        deadline_s: float,
-        suspect_run: contextlib.AsyncExitStack,
-    ) -> None:
-        """Waits until a request under suspicion may run.
+        self, req: frames.Request, deadline_s: float
+    ) -> bool:
+        """Waits until a request may run beside others under suspicion.
+
+        Returns:
+            Whether it is under suspicion itself.
 
         Raises:
             errors.RequestError: The request is in quarantine, or others under
                 suspicion take too long.
         """
         if req.suspicion is None:
-            return
+            return False
         digest = req.suspicion.fingerprint
         self.suspicions.merge([req.suspicion])
         self.suspicions.check(digest)
         if not self.suspicions.get(digest).crashes:
-            return
+            return False
         now_s = asyncio.get_running_loop().time()
         start_by_s = now_s + (deadline_s - now_s) * SUSPECT_WAIT_FRACTION
         try:
-            await suspect_run.enter_async_context(
-                self._suspect_runs.run(digest, start_by_s)
-            )
+            await self._suspect_runs.acquire(digest, start_by_s)
         except TimeoutError as exc:
             raise errors.RequestError(
                 errors.Code.SLOTS_FULL,
                 "another request under suspicion runs",
                 self._retry_after_s(),
             ) from exc
+        return True
 
     async def _record_lost_connection(self) -> None:
         """Counts a crash, if the connection was lost in one."""
@@ -492,6 +487,17 @@
             now_s = asyncio.get_running_loop().time()
             self._circuit_breaker.on_unreachable(now_s)
 
+    def _record_response(
+        self,
+        req: frames.Request,
+        lifetime: lifetimes.Announcement | None,
+        metadata: interfaces.ResponseMetadata,
+    ) -> None:
+        """Records that a request has run, and what the response states."""
+        if not (metadata.not_run or metadata.wrong_instance):
+            self._crash_detector.complete(req.attempt)
+        self._apply_statements(lifetime, metadata)
+
     def _apply_statements(
         self,
         lifetime: lifetimes.Announcement | None,
--- a/tests/sidecar/test_crashes.py
+++ b/tests/sidecar/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests of the detection of crashes and of runs under suspicion."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -30,6 +31,15 @@
         return self.refuses.pop(0)
 
 
+@contextlib.asynccontextmanager
+async def run_under_suspicion(runs, digest, start_by_s):
+    await runs.acquire(digest, start_by_s)
+    try:
+        yield
+    finally:
+        runs.release()
+
+
 def make(pool):
     known = suspicions.Suspicions()
     return known, crashes.CrashDetector(pool, known)
@@ -105,7 +115,7 @@
         running, beside = [], []
 
         async def one(digest):
-            async with runs.run(digest, loop.time() + 1.0):
+            async with run_under_suspicion(runs, digest, loop.time() + 1.0):
                 running.append(digest)
                 await asyncio.sleep(0.01)
                 beside.append(set(running))
@@ -123,11 +133,11 @@
     async def run():
         runs = crashes.SuspectRuns()
         now_s = asyncio.get_running_loop().time()
-        async with runs.run(BAD, now_s + 1.0):
+        async with run_under_suspicion(runs, BAD, now_s + 1.0):
             with pytest.raises(TimeoutError):
-                async with runs.run(GOOD, now_s + 0.01):
+                async with run_under_suspicion(runs, GOOD, now_s + 0.01):
                     pass
-        async with runs.run(GOOD, now_s + 1.0):
+        async with run_under_suspicion(runs, GOOD, now_s + 1.0):
             pass
 
     asyncio.run(run())
