--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -383,11 +383,10 @@
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
         return (
-            self._close_reason is None
+            self.is_open
             and not self._completed_responses
             and not self._in_message
             and not self._has_pending_bytes
-            and not self._transport.is_closing()
         )
 
     @property
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -198,8 +198,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(connecting)
-        except (OSError, ValueError, OverflowError) as exc:
-            # An address may also be one that can't be connected to at all.
+        except OSError as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             raise NotSentError(
                 f"{self.peer.address}: {exc!r}", refused
@@ -326,7 +325,7 @@
                     LinkLostError(f"{self.peer.address}: {reason}")
                 )
 
-    async def tell(self, changed: list[entries.CrashSuspicion]) -> None:
+    async def notify(self, changed: list[entries.CrashSuspicion]) -> None:
         """Sends suspicions to the other daemon.
 
         Raises:
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -163,7 +163,7 @@
         self._member_applier.on_suspicion = lambda s: suspicions.merge([s])
         self._tasks: list[asyncio.Task[None]] = []
         self._closing_writes: set[asyncio.Task[None]] = set()
-        self._tellings: set[asyncio.Task[None]] = set()
+        self._notifications: set[asyncio.Task[None]] = set()
         self._health_check: asyncio.Task[None] | None = None
         self._announced_slots: int | None = None
         self._stopping = False
@@ -247,7 +247,7 @@
 
     def close(self) -> None:
         """Stops immediately, without waiting for requests in flight."""
-        for task in (*self._tasks, *self._closing_writes, *self._tellings):
+        for task in (*self._tasks, *self._closing_writes, *self._notifications):
             task.cancel()
         if self._health_check is not None:
             self._health_check.cancel()
@@ -367,25 +367,25 @@
         """
         self._link_server.broadcast(self.ingress.pong(changed))
         pool = self._egress.links
-        links_to_tell = set(pool.connected())
+        links_to_notify = set(pool.connected())
         for registration in self.directory.for_service(self._cfg.service):
             if registration.daemon != self._cfg.daemon:
-                links_to_tell.add(pool.get_or_create(registration))
-        for link in links_to_tell:
-            task = asyncio.create_task(self._tell(link, changed))
-            self._tellings.add(task)
-            task.add_done_callback(self._tellings.discard)
+                links_to_notify.add(pool.get_or_create(registration))
+        for link in links_to_notify:
+            task = asyncio.create_task(self._notify(link, changed))
+            self._notifications.add(task)
+            task.add_done_callback(self._notifications.discard)
         for suspicion in changed:
             if self.ingress.suspicions.has_reached_limit(suspicion.fingerprint):
                 self._suspicion_recorder.record(suspicion)
 
-    async def _tell(
+    async def _notify(
         self, link: links.Link, changed: list[entries.CrashSuspicion]
     ) -> None:
         # A daemon that can't be reached now gets those from the crash limit on
         # with the next connection.
         with contextlib.suppress(links.NotSentError):
-            await link.tell(changed)
+            await link.notify(changed)
 
     async def _check_health_at_start(self) -> None:
         """Checks the health of an upstream that is already running.
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -172,7 +172,7 @@
                 await self._pause(self._backoff.next_delay_s(self._read_mode))
                 continue
             except Exception:
-                # A faulty record must not stop the follower.
+                # An unexpected answer of the log must not stop the follower.
                 _logger.exception("follower_failed", topic=self.topic)
                 self._needs_snapshot = True
                 await asyncio.sleep(RETRY_INTERVAL_S)
