--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -45,6 +45,9 @@
         "Requests for the upstream beside this daemon that were refused or"
         " failed, by code"
     ),
+    "buckthorn_log_epoch": (
+        "Epoch of the log; rises each time the log is restored from a copy"
+    ),
     "buckthorn_log_failures": "Failed calls of the log, by topic",
     "buckthorn_log_records": "Records read from the log, by verdict",
     "buckthorn_members": "Registered daemons that are known",
--- a/packages/core/buckthorn_core/topic_tables.py
+++ b/packages/core/buckthorn_core/topic_tables.py
@@ -6,6 +6,21 @@
 from buckthorn_core import ids
 from buckthorn_core import log_reads
 
+FIRST_EPOCH = ids.LogEpoch(0)
+
+
+class Place(NamedTuple):
+    """Place of a record in a topic; a later epoch is a later place.
+
+    Attributes:
+        epoch: Epoch of the log, which rises each time the log is restored from
+            a copy.
+        offset: Offset in that epoch.
+    """
+
+    epoch: ids.LogEpoch
+    offset: ids.Offset
+
 
 class Record(NamedTuple):
     """A record of a keyed topic.
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -90,11 +90,13 @@
         end: The offset to continue from.
         as_of_s: When the log had no further records, in seconds on the event
             loop's monotonic clock.
+        epoch: Epoch of the log that answered.
     """
 
     records: Sequence[topic_tables.Record]
     end: ids.Offset
     as_of_s: float
+    epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH
 
 
 class Position(NamedTuple):
@@ -104,14 +106,21 @@
         end: The offset of the next record.
         as_of_s: When the topic ended there, in seconds on the event loop's
             monotonic clock.
+        epoch: Epoch of the log that answered.
     """
 
     end: ids.Offset
     as_of_s: float
+    epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH
 
 
 class KeyedLog(Protocol):
-    """A log of keyed records by topic that keeps the newest of each key."""
+    """A log of keyed records by topic that keeps the newest of each key.
+
+    The log can be restored from a copy, which is a new epoch: records that were
+    appended after the copy was made are lost, and their offsets are given to
+    other records. Offsets can only be compared within an epoch.
+    """
 
     async def newest(self, topic: str) -> Batch:
         """Returns the newest record of each key.
@@ -149,8 +158,10 @@
             errors.LogError: The log didn't respond.
         """
 
-    async def append(self, topic: str, key: str, value: bytes) -> ids.Offset:
-        """Appends a record and returns its offset.
+    async def append(
+        self, topic: str, key: str, value: bytes
+    ) -> topic_tables.Place:
+        """Appends a record and returns its place.
 
         Args:
             topic: The topic.
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -170,6 +170,9 @@
         self.meter.register_gauge(
             "buckthorn_version", lambda: self.holder.number
         )
+        self.meter.register_gauge(
+            "buckthorn_log_epoch", lambda: self._configuration_follower.epoch
+        )
         self.meter.register_gauge(
             "buckthorn_members", lambda: len(self.directory)
         )
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -41,6 +41,7 @@
     Attributes:
         topic: The topic.
         table: The newest records.
+        epoch: Epoch of the log, as of the last read.
         synced: Set once the newest records have been read.
         confirmed_s: When the log last confirmed that the table is complete, in
             seconds on the event loop's monotonic clock.
@@ -86,6 +87,7 @@
         self._may_read.set()
         self._read_mode_changed = asyncio.Event()
         self.table = topic_tables.TopicTable()
+        self.epoch = topic_tables.FIRST_EPOCH
         self.synced = asyncio.Event()
         self.confirmed_s = -math.inf
         self.on_records: Callable[[TopicFollower, ids.Offset | None], None] = (
@@ -202,6 +204,8 @@
         finally:
             self._read.cancel()
             self._read = None
+        if batch is not None and batch.epoch > self.epoch:
+            self._note_restored(batch)
         if batch is None:
             _logger.warning("log_gap", topic=self.topic, start=start)
             self._needs_snapshot = True
@@ -242,6 +246,16 @@
         changes = self.table.changes_from_snapshot(batch.records, batch.end)
         return interfaces.Batch(changes, batch.end, batch.as_of_s)
 
+    def _note_restored(self, batch: interfaces.Batch) -> None:
+        _logger.warning(
+            "log_restored",
+            topic=self.topic,
+            epoch=batch.epoch,
+            next_offset=self.table.next_offset,
+            end=batch.end,
+        )
+        self.epoch = batch.epoch
+
     def _record_failure(self, exc: errors.LogError) -> None:
         self._meter.count("buckthorn_log_failures", topic=self.topic)
         if not self._log_lost:
@@ -529,9 +543,10 @@
             if desired is None or self._is_recorded(desired):
                 continue
             try:
-                self._written_offset = await self._log.append(
+                place = await self._log.append(
                     self._topic, self._daemon, directories.encode(desired)
                 )
+                self._written_offset = place.offset
                 if desired == self._desired:
                     self._written.set()
                 _logger.info("registered", daemon=self._daemon)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -138,6 +138,7 @@
         silent: Whether calls get no answer and are not executed.
         first: Offset of the first record by topic; earlier ones have expired.
         calls: Number of calls by name.
+        era: Rises by one with each restoration; stated in all answers.
         on_append: Returns the value to store for a key and value that a
             daemon appends.
     """
@@ -147,6 +148,7 @@
         self.down = False
         self.silent = False
         self.first = collections.Counter()
+        self.era = 1
         self.on_append = lambda key, value: value
         self.calls = collections.Counter()
         self._topics = collections.defaultdict(list)
@@ -163,6 +165,24 @@
         with self._changed:
             self.first[topic] = len(self._topics[topic])
 
+    def copy(self):
+        """Returns a copy of all topics, for `restore`."""
+        with self._changed:
+            return {t: list(records) for t, records in self._topics.items()}
+
+    def restore(self, copy):
+        """Comes back from a copy: what was appended since is lost."""
+        with self._changed:
+            self._topics.clear()
+            self._topics.update({t: list(r) for t, r in copy.items()})
+            self.era += 1
+            self._changed.notify_all()
+
+    def length(self, topic):
+        """Returns the offset after a topic's last record."""
+        with self._changed:
+            return len(self._topics[topic])
+
     def newest(self, topic):
         """Returns the newest value of each key."""
         with self._changed:
@@ -179,10 +199,13 @@
             call.close_connection = True
             return
         if self.down:
-            call.reply(503, b"{}")
+            self._reply(call, 503, b"{}")
             return
         getattr(self, "_" + name.replace("-", "_"))(call, fields, body)
 
+    def _reply(self, call, status, body):
+        call.reply(status, body, [("Store-Era", str(self.era))])
+
     def _log_append(self, call, fields, body):
         position, offset = 0, len(self._topics[fields["topic"]])
         while position < len(body):
@@ -194,19 +217,24 @@
             self.put(fields["topic"], key, value)
             position += 4 + length
         answer = {"offset": offset, "end": len(self._topics[fields["topic"]])}
-        call.reply(200, json.dumps(answer).encode())
+        self._reply(call, 200, json.dumps(answer).encode())
 
     def _log_read(self, call, fields, body):
         del body
         topic, start = fields["topic"], int(fields["from"])
         with self._changed:
-            if start < self.first[topic]:
-                call.reply(410, b'{"first":%d}' % self.first[topic])
-                return
+            era = self.era
             self._changed.wait_for(
-                lambda: len(self._topics[topic]) > start or self.down,
+                lambda: (
+                    len(self._topics[topic]) != start
+                    or self.down
+                    or self.era != era
+                ),
                 int(fields.get("waitMs", 0)) / 1000,
             )
+            if not self.first[topic] <= start <= len(self._topics[topic]):
+                self._reply(call, 410, b'{"first":%d}' % self.first[topic])
+                return
             records = self._topics[topic][start:]
             end = len(self._topics[topic])
         out = end.to_bytes(8, "big") + self.first[topic].to_bytes(8, "big")
@@ -214,7 +242,7 @@
             name = key.encode()
             content = bytes([len(name)]) + name + value
             out += len(content).to_bytes(4, "big") + content
-        call.reply(200, out)
+        self._reply(call, 200, out)
 
     def _log_newest(self, call, fields, body):
         del body
@@ -235,7 +263,7 @@
             ]
             end = len(self._topics[topic])
         answer = {"items": items, "hasMore": False, "end": end}
-        call.reply(200, json.dumps(answer).encode())
+        self._reply(call, 200, json.dumps(answer).encode())
 
 
 class Instance(_Standin):
