Follow the log across restorations, and keep what it has lost

Cause: offsets were compared across two histories of a topic. The position to read on from never went back, records of the new history were dropped as older ones if their offsets were lower, and daemons fed others from a table that kept the old record. A record that a daemon had written counted as present while the position was below its offset.

An offset now belongs to an epoch of the log. What the log has lost stays in force until it has a record of the key that is not older by its revision, which is the version number or a counter in a registration. Daemons tell each other what is lost when they subscribe, when they start and when one lacks a version. Each writes its own records again, spread over a time that grows with their number; the first daemon of a region writes those of daemons that have ended. A delta names its base by digest, too, and a confirmation names the places that it covers.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -65,6 +65,9 @@
     "buckthorn_retries": "Further tries of callers' requests, by service",
     "buckthorn_status_query_failures": ("Failed queries of the fleet's status"),
     "buckthorn_summary_failures": "Failed summaries to other regions",
+    "buckthorn_unrecorded_changes": (
+        "Changes in force that the log has lost and nobody has written again"
+    ),
     "buckthorn_upstream_limit": (
         "Requests per second that the upstream beside this daemon takes from"
         " all hosts together; +Inf while it states no limit"
--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -31,6 +31,8 @@
         closed_born_ms: When that lifetime started, in ms since the epoch.
         closed_before: Lifetimes that were closed before that one, the latest
             at the end. A delayed announcement may come from any of them.
+        revision: Rises with each record of the daemon. Tells which of two
+            records is newer after the log was restored from a copy.
     """
 
     daemon: ids.DaemonId
@@ -43,6 +45,7 @@
     closed: ids.InstanceId = ids.InstanceId("")
     closed_born_ms: lifetimes.BornMs = 0
     closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
+    revision: foreign_values.Count = 0
 
     @property
     def closings(self) -> list[lifetimes.ClosedLifetime]:
@@ -52,6 +55,12 @@
         latest = lifetimes.ClosedLifetime(self.closed, self.closed_born_ms)
         return [*self.closed_before, latest]
 
+    def says_the_same(self, other: "Registration | None") -> bool:
+        """Returns whether another registration differs by its revision only."""
+        return other is not None and self == msgspec.structs.replace(
+            other, revision=self.revision
+        )
+
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Registration)
@@ -90,6 +99,11 @@
     def __len__(self) -> int:
         return len(self._by_daemon)
 
+    @property
+    def daemons(self) -> list[ids.DaemonId]:
+        """The registered daemons."""
+        return list(self._by_daemon)
+
     def get(self, daemon: ids.DaemonId) -> Registration | None:
         """Returns a daemon's registration, or None."""
         return self._by_daemon.get(daemon)
@@ -111,7 +125,11 @@
     def put(self, registration: Registration) -> bool:
         """Stores a registration; returns whether it changed anything."""
         old = self._by_daemon.get(registration.daemon)
-        if old == registration:
+        if registration.says_the_same(old):
+            self._by_daemon[registration.daemon] = registration
+            self._by_service[registration.service][registration.daemon] = (
+                registration
+            )
             return False
         self.remove(registration.daemon)
         self.revision += 1
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -158,6 +158,7 @@
         links: Connections to other daemons.
         newest_peer_version: The newest configuration version that another
             daemon reported.
+        newest_peer: The daemon that reported it last.
     """
 
     def __init__(
@@ -196,6 +197,7 @@
             attempt_outcomes.attempt_id(sender, n) for n in itertools.count()
         )
         self.newest_peer_version = 0
+        self.newest_peer: ids.DaemonId | None = None
 
     def remove(self, daemon: ids.DaemonId) -> None:
         """Drops the state and the link of a daemon that was removed."""
@@ -221,7 +223,9 @@
         with_response = isinstance(frame, frames.Response)
         if self._load_balancer.on_report(to, frame.load, now_s, with_response):
             _logger.info("daemon_reachable", daemon=to.daemon)
-        self.newest_peer_version = max(self.newest_peer_version, frame.version)
+        if frame.version >= self.newest_peer_version:
+            self.newest_peer_version = frame.version
+            self.newest_peer = to.daemon
 
     def _on_unresponsive(self, to: directories.Registration) -> None:
         self._mark_unreachable(to, "no data received on the link")
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -2,8 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
+import contextlib
+import hashlib
 import math
+import random
 
 import loguru
 
@@ -29,6 +33,10 @@
 # Minimum time between two attempts to resubscribe, in seconds. Records that
 # don't fit are ignored meanwhile and don't make the daemon leave its feed.
 RESUBSCRIBE_INTERVAL_S = 1.0
+# Daemons that a new process asks for what the log has lost. Hosts that are gone
+# for good may still be listed.
+START_QUERIES = 3
+_DIGEST_BYTES = 8
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -49,7 +57,7 @@
         link_pool: links.LinkPool,
         server: links.LinkServer,
         in_force: Callable[[], int],
-        newest_peer_version: Callable[[], int],
+        newest_peer_version: Callable[[], tuple[int, ids.DaemonId | None]],
         boot_id: str,
     ):
         """Creates the feed.
@@ -63,7 +71,7 @@
             server: Accepts the connections of other daemons.
             in_force: Returns the version that is in force in this process.
             newest_peer_version: Returns the newest version that another daemon
-                reported.
+                reported, and which daemon.
             boot_id: Unique id of this process.
         """
         self._cfg = cfg
@@ -90,15 +98,26 @@
         ) = None
         self._cached_position = feed_trees.ROOT
         self._subscribing: asyncio.Task[None] | None = None
+        self._start_queries: list[asyncio.Task[None]] | None = None
         self._task: asyncio.Task[None] | None = None
         self._last_sent: dict[tuple[str, str], topic_tables.Record] = {}
+        # The last transition of each topic, for children that come later.
+        self._transitions: dict[str, topic_tables.Transition] = {}
         for follower in self._followers.values():
             follower.on_records = self._on_records
         configurations.on_confirmed = self._on_log_confirmed
         link_pool.on_feed_frame = self._on_feed_frame
         server.on_subscribe = self._on_subscribe
+        server.on_unrecorded = self._on_unrecorded
         server.on_end = self._children.discard
 
+    @property
+    def is_root(self) -> bool:
+        """Whether this daemon is the first of its region."""
+        return self._member_follower.synced.is_set() and (
+            self._state.parent is None
+        )
+
     def start(self) -> None:
         """Starts the periodic checks.
 
@@ -111,7 +130,8 @@
 
     def close(self) -> None:
         """Stops the periodic checks."""
-        for task in (self._task, self._subscribing):
+        tasks = (self._task, self._subscribing, *(self._start_queries or ()))
+        for task in tasks:
             if task is not None:
                 task.cancel()
 
@@ -133,6 +153,11 @@
         if state.is_stale(now_s):
             self._abandon_parent("stale", now_s)
         self._check_version_lag(now_s)
+        if (
+            self._start_queries is None
+            and self._member_follower.synced.is_set()
+        ):
+            self._start_queries = self._query_at_start()
         known = self._configuration_follower.synced.is_set()
         if known and state.step_down(self._cfg.daemon, now_s):
             _logger.warning("log_left_to_others")
@@ -166,13 +191,29 @@
         self._update_read_modes(now_s)
 
     def _confirm_children(self, now_s: float) -> None:
-        frame = frames.Confirm(self._state.confirmation(now_s))
+        self._send_to_children(self._confirm(now_s))
+
+    def _confirm(self, now_s: float) -> frames.Confirm:
+        return frames.Confirm(
+            self._state.confirmation(now_s),
+            {
+                topic: follower.table.place
+                for topic, follower in self._followers.items()
+                if follower.table.next_offset is not None
+            },
+        )
+
+    def _send_to_children(
+        self, frame: frames.Frame, source: links.FrameConnection | None = None
+    ) -> None:
+        """Sends a frame to all fed daemons but the one that it came from."""
         for conn in self._children:
-            conn.send(frame)
+            if conn is not source:
+                conn.send(frame)
 
     def _check_version_lag(self, now_s: float) -> None:
         """Leaves the feed, or reloads, if a version is missing for too long."""
-        newest_peer_version = self._newest_peer_version()
+        newest_peer_version, peer = self._newest_peer_version()
         if newest_peer_version <= self._in_force():
             self._missing_version = None
         elif (
@@ -180,9 +221,11 @@
             or self._missing_version[0] <= self._in_force()
         ):
             self._missing_version = (newest_peer_version, now_s)
+            self._query_unrecorded(peer)
         elif now_s - self._missing_version[1] >= self._version_lag_timeout_s:
             self._missing_version = None
             _logger.warning("log_read_again", version=newest_peer_version)
+            self._query_unrecorded(peer)
             self._state.invalidate()
             if self._state.parent is not None:
                 self._abandon_parent("behind", now_s)
@@ -190,6 +233,28 @@
                 for follower in self._followers.values():
                     follower.reload()
 
+    def _query_at_start(self) -> list[asyncio.Task[None]]:
+        """Asks some daemons what the log has lost before this process began."""
+        others = [d for d in self._directory.daemons if d != self._cfg.daemon]
+        chosen = random.sample(others, min(START_QUERIES, len(others)))
+        return [asyncio.create_task(self._query(daemon)) for daemon in chosen]
+
+    async def _query(self, daemon: ids.DaemonId) -> None:
+        registration = self._directory.get(daemon)
+        if registration is not None:
+            with contextlib.suppress(links.NotSentError):
+                await self._link_pool.get_or_create(registration).send(
+                    frames.UnrecordedQuery()
+                )
+
+    def _query_unrecorded(self, peer: ids.DaemonId | None) -> None:
+        """Asks a daemon with a newer version whether the log has lost it."""
+        registration = self._directory.get(peer) if peer is not None else None
+        if registration is not None:
+            self._link_pool.get_or_create(registration).send_if_connected(
+                frames.UnrecordedQuery()
+            )
+
     def _tree_position(self, now_s: float) -> feed_trees.TreePosition:
         """Returns this daemon's position in the feed tree."""
         if not self._member_follower.synced.is_set():
@@ -233,38 +298,148 @@
         registration = self._directory.get(parent)
         if registration is None:
             return
-        positions = {t: f.table.next_offset for t, f in self._followers.items()}
+        link = self._link_pool.get_or_create(registration)
+        tables = {t: f.table for t, f in self._followers.items()}
         try:
-            await self._link_pool.get_or_create(registration).subscribe(
-                frames.Subscribe(dict(positions))
+            await link.send(
+                frames.Subscribe(
+                    {t: table.next_offset for t, table in tables.items()},
+                    {t: table.epoch for t, table in tables.items()},
+                )
             )
+            # A parent that has started since the log was restored may only
+            # know what the log has.
+            for frame in self._unrecorded_frames():
+                link.send_if_connected(frame)
         except links.NotSentError as exc:
             self._abandon_parent(str(exc), asyncio.get_running_loop().time())
 
     def _on_feed_frame(
         self, daemon: ids.DaemonId, frame: frames.FeedFrame
     ) -> None:
-        if daemon != self._state.parent:
+        if isinstance(frame, frames.Unrecorded):
+            self._merge_unrecorded(frame, None)
+        elif daemon != self._state.parent:
             return
+        elif isinstance(frame, frames.Confirm):
+            self._on_confirm(frame)
+        else:
+            self._on_records_frame(frame)
+
+    def _on_confirm(self, frame: frames.Confirm) -> None:
+        now_s = asyncio.get_running_loop().time()
+        behind = [
+            topic
+            for topic, place in frame.places.items()
+            if topic in self._followers
+            and self._followers[topic].table.place < tuple(place)
+        ]
+        if behind:
+            # Records that the confirmation covers did not fit.
+            self._resubscribe(f"behind in {', '.join(behind)}", now_s)
+        elif self._state.on_confirmation(frame.confirmation, now_s):
+            self._confirm_children(now_s)
+            self._update_read_modes(now_s)
+
+    def _on_records_frame(self, frame: frames.Records) -> None:
         now_s = asyncio.get_running_loop().time()
-        if isinstance(frame, frames.Confirm):
-            if self._state.on_confirmation(frame.confirmation, now_s):
-                self._confirm_children(now_s)
-                self._update_read_modes(now_s)
-            return
         follower = self._followers.get(frame.topic)
         if follower is None:
             _logger.warning("bad_frame", error=f"topic {frame.topic}")
             return
+        epoch = ids.LogEpoch(frame.epoch)
         try:
-            records = [self._decode(follower, r) for r in frame.records]
+            records = [self._decode(follower, r, epoch) for r in frame.records]
         except errors.PeerError as exc:
             self._resubscribe(str(exc), now_s)
             return
         start = None if frame.start is None else ids.Offset(frame.start)
-        if not follower.apply(records, start, ids.Offset(frame.end)):
+        transition = None
+        if frame.move is not None:
+            transition = topic_tables.Transition(
+                ids.LogEpoch(frame.move.previous_epoch),
+                ids.Offset(frame.move.previous_end),
+                frame.move.lost_keys,
+                records,
+                ids.Offset(frame.end),
+            )
+        if not follower.apply(
+            records, start, ids.Offset(frame.end), epoch, transition
+        ):
             self._resubscribe("gap", now_s)
 
+    def _on_unrecorded(
+        self,
+        conn: links.FrameConnection,
+        frame: frames.Unrecorded | frames.UnrecordedQuery,
+    ) -> None:
+        if isinstance(frame, frames.Unrecorded):
+            self._merge_unrecorded(frame, conn)
+            return
+        for answer in self._unrecorded_frames():
+            conn.send(answer)
+
+    def _merge_unrecorded(
+        self, frame: frames.Unrecorded, source: links.FrameConnection | None
+    ) -> None:
+        """Applies changes that the log has lost, and passes on new ones."""
+        follower = self._followers.get(frame.topic)
+        if follower is None:
+            _logger.warning("bad_frame", error=f"topic {frame.topic}")
+            return
+        try:
+            changes = [
+                topic_tables.UnrecordedChange(
+                    change.key,
+                    self._codec.decode(change.data, None)
+                    if change.data
+                    else b"",
+                    change.revision,
+                )
+                for change in frame.changes
+            ]
+        except errors.PeerError as exc:
+            _logger.warning("bad_frame", error=str(exc))
+            return
+        in_force = follower.merge_unrecorded(changes)
+        if in_force:
+            self._spread(self._encode_unrecorded(frame.topic, in_force), source)
+
+    def _spread(
+        self, frame: frames.Unrecorded, source: links.FrameConnection | None
+    ) -> None:
+        """Sends changes that the log has lost to the parent and children."""
+        self._send_to_children(frame, source)
+        parent = self._state.parent
+        registration = self._directory.get(parent) if parent else None
+        if registration is not None:
+            self._link_pool.get_or_create(registration).send_if_connected(frame)
+
+    def _unrecorded_frames(self) -> list[frames.Unrecorded]:
+        """Returns what the log has lost, by topic."""
+        return [
+            self._encode_unrecorded(topic, follower.table.unrecorded.values())
+            for topic, follower in self._followers.items()
+            if follower.table.unrecorded
+        ]
+
+    def _encode_unrecorded(
+        self, topic: str, changes: Iterable[topic_tables.UnrecordedChange]
+    ) -> frames.Unrecorded:
+        return frames.Unrecorded(
+            topic,
+            [
+                frames.UnrecordedChange(
+                    change.key,
+                    self._codec.encode(change.value, None)
+                    if change.value
+                    else b"",
+                    change.revision,
+                )
+                for change in changes
+            ],
+        )
+
     def _resubscribe(self, reason: str, now_s: float) -> None:
         """Subscribes to the parent again, from the current offsets on.
 
@@ -285,6 +460,7 @@
         self,
         follower: topic_followers.TopicFollower,
         feed_record: frames.FeedRecord,
+        epoch: ids.LogEpoch,
     ) -> topic_tables.Record:
         """Returns the decoded record, or the current one if that isn't older.
 
@@ -292,11 +468,19 @@
             errors.PeerError: The record's delta base isn't known here.
         """
         current = follower.table.get(feed_record.key)
-        if current is not None and current.offset >= feed_record.offset:
+        if (
+            current is not None
+            and epoch == follower.table.epoch
+            and current.offset >= feed_record.offset
+        ):
             return current
         base = None
         if feed_record.base is not None:
-            if current is None or current.offset != feed_record.base:
+            if (
+                current is None
+                or current.offset != feed_record.base
+                or feed_record.base_digest not in (b"", _digest(current.value))
+            ):
                 raise errors.PeerError(
                     errors.Code.BAD_MESSAGE,
                     f"no record {feed_record.base} as a base",
@@ -319,42 +503,101 @@
             return
         # Later records go to all children as soon as they are applied.
         self._children.add(conn)
-        for topic, follower in self._followers.items():
-            position = frame.positions.get(topic)
-            start = None if position is None else ids.Offset(position)
-            end = follower.table.next_offset
-            if end is None:
-                continue
-            records = follower.table.records_since(start)
-            if records or start is None:
-                conn.send(self._records(topic, start, end, records, {}))
+        for topic in self._followers:
+            records_frame = self._missing_records(topic, frame)
+            if records_frame is not None:
+                conn.send(records_frame)
+        for unrecorded in self._unrecorded_frames():
+            conn.send(unrecorded)
         if self._configuration_follower.synced.is_set():
-            now_s = asyncio.get_running_loop().time()
-            conn.send(frames.Confirm(self._state.confirmation(now_s)))
+            conn.send(self._confirm(asyncio.get_running_loop().time()))
+
+    def _missing_records(
+        self, topic: str, frame: frames.Subscribe
+    ) -> frames.Records | None:
+        """Returns the records that a subscriber lacks, if any."""
+        table = self._followers[topic].table
+        end, offset = table.next_offset, frame.positions.get(topic)
+        if end is None:
+            return None
+        epoch = frame.epochs.get(topic, topic_tables.FIRST_EPOCH)
+        transition = self._transitions.get(topic)
+        if offset is not None and epoch == table.epoch:
+            records = table.records_since(ids.Offset(offset))
+            if not records and offset >= end:
+                return None
+            return self._records(topic, ids.Offset(offset), end, records, {})
+        if transition is None or (epoch, offset) != (
+            transition.previous_epoch,
+            transition.previous_end,
+        ):
+            return self._records(
+                topic, None, end, table.records_since(None), {}
+            )
+        keys = {r.key for r in transition.records}
+        keys.update(r.key for r in table.records_since(transition.end))
+        records = [r for key in keys if (r := table.get(key)) is not None]
+        return self._move(topic, transition._replace(records=records, end=end))
 
     def _on_records(
-        self, follower: topic_followers.TopicFollower, start: ids.Offset | None
+        self,
+        follower: topic_followers.TopicFollower,
+        start: ids.Offset | None,
+        transition: topic_tables.Transition | None,
     ) -> None:
         """Sends the records that a follower has applied to all children."""
-        topic, end = follower.topic, follower.table.next_offset
+        topic, table = follower.topic, follower.table
+        end = table.next_offset
         if end is None:
             return
         if start is None:
             # The parent and the read modes are updated before the follower
             # begins its next read.
             self._check_safely(asyncio.get_running_loop().time())
-        records = follower.table.records_since(start)
+        if transition is not None:
+            self._transitions[topic] = transition
+            self._forget_bases(topic)
+            for other in self._followers.values():
+                other.expect_epoch(table.epoch)
+        records = table.records_since(start)
         bases = {
             r.key: self._last_sent[topic, r.key]
             for r in records
             if start is not None and (topic, r.key) in self._last_sent
         }
         if self._children:
-            frame = self._records(topic, start, end, records, bases)
-            for conn in self._children:
-                conn.send(frame)
+            self._send_to_children(
+                self._records(topic, start, end, records, bases)
+                if transition is None
+                else self._move(topic, transition)
+            )
         for record in records:
             self._last_sent[topic, record.key] = record
+        if transition is not None and table.unrecorded:
+            self._spread(
+                self._encode_unrecorded(topic, table.unrecorded.values()), None
+            )
+
+    def _forget_bases(self, topic: str) -> None:
+        """Drops what was sent to children before the log was restored."""
+        self._last_sent = {
+            (of_topic, key): record
+            for (of_topic, key), record in self._last_sent.items()
+            if of_topic != topic
+        }
+
+    def _move(
+        self, topic: str, transition: topic_tables.Transition
+    ) -> frames.Records:
+        """Returns a transition; one that has moved already needs nothing."""
+        move = frames.Move(
+            transition.previous_epoch,
+            transition.previous_end,
+            transition.lost_keys,
+        )
+        return self._records(
+            topic, transition.end, transition.end, transition.records, {}, move
+        )
 
     def _records(
         self,
@@ -363,6 +606,7 @@
         end: ids.Offset,
         records: Sequence[topic_tables.Record],
         bases: dict[str, topic_tables.Record],
+        move: frames.Move | None = None,
     ) -> frames.Records:
         feed_records = []
         for record in records:
@@ -377,6 +621,18 @@
                     record.offset,
                     data,
                     base.offset if base is not None else None,
+                    _digest(base.value) if base is not None else b"",
                 )
             )
-        return frames.Records(topic, start, end, feed_records)
+        return frames.Records(
+            topic,
+            start,
+            end,
+            feed_records,
+            self._followers[topic].table.epoch,
+            move,
+        )
+
+
+def _digest(value: bytes) -> bytes:
+    return hashlib.blake2b(value, digest_size=_DIGEST_BYTES).digest()
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -181,9 +181,11 @@
 
     Attributes:
         positions: Offset to start from, by topic; None for all records.
+        epochs: Epoch of the log that an offset is from, by topic.
     """
 
     positions: dict[str, int | None]
+    epochs: dict[str, int] = {}
 
 
 class FeedRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -195,12 +197,29 @@
         data: The compressed value; empty if the key was deleted.
         base: Offset of the key's earlier record that the value is
             delta-compressed against; None for no delta.
+        base_digest: Digest of that record's value; another history of the log
+            may have another record at the offset.
     """
 
     key: str
     offset: int
     data: bytes
     base: int | None
+    base_digest: bytes = b""
+
+
+class Move(msgspec.Struct, array_like=True, frozen=True):
+    """How a receiver moves from the previous epoch of the log to the next.
+
+    Attributes:
+        previous_epoch: The previous epoch.
+        previous_end: The position that the receiver must have in it.
+        lost_keys: Keys whose record the next epoch lacks.
+    """
+
+    previous_epoch: int
+    previous_end: int
+    lost_keys: list[str]
 
 
 class Records(msgspec.Struct, tag="R", array_like=True, frozen=True):
@@ -212,12 +231,17 @@
             snapshot of all records.
         end: The receiver's position afterwards.
         records: The records.
+        epoch: Epoch of the log that the offsets are from.
+        move: Set if the records are those by which a receiver moves to the
+            epoch.
     """
 
     topic: str
     start: int | None
     end: int
     records: list[FeedRecord]
+    epoch: int = 0
+    move: Move | None = None
 
 
 class Confirm(msgspec.Struct, tag="C", array_like=True, frozen=True):
@@ -225,9 +249,42 @@
 
     Attributes:
         confirmation: The log's confirmation on which this is based.
+        places: Epoch and offset that the receiver has reached if it has all
+            records, by topic.
     """
 
     confirmation: feed_trees.LogConfirmation
+    places: dict[str, tuple[int, int]] = {}
+
+
+class UnrecordedChange(msgspec.Struct, array_like=True, frozen=True):
+    """A change that the log has lost and that stays in force.
+
+    Attributes:
+        key: Key of the record.
+        data: The compressed value; empty if the key was deleted.
+        revision: Revision of the value, or of the one that was deleted.
+    """
+
+    key: str
+    data: bytes
+    revision: tuple[int, int]
+
+
+class Unrecorded(msgspec.Struct, tag="U", array_like=True, frozen=True):
+    """What the log has lost, for a daemon that may not know it.
+
+    Attributes:
+        topic: The topic.
+        changes: The changes.
+    """
+
+    topic: str
+    changes: list[UnrecordedChange]
+
+
+class UnrecordedQuery(msgspec.Struct, tag="Q", array_like=True, frozen=True):
+    """Asks for `Unrecorded` changes."""
 
 
 Frame = (
@@ -242,9 +299,11 @@
     | Subscribe
     | Records
     | Confirm
+    | Unrecorded
+    | UnrecordedQuery
 )
 LoadFrame = Response | Failure | Hello | Pong
-FeedFrame = Records | Confirm
+FeedFrame = Records | Confirm | Unrecorded
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
 
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -16,7 +16,6 @@
 
 from buckthorn_adapters import http1
 from buckthorn_core import directories
-from buckthorn_core import entries
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_sidecar import frames
@@ -325,17 +324,8 @@
                     LinkLostError(f"{self.peer.address}: {reason}")
                 )
 
-    async def notify(self, changed: list[entries.CrashSuspicion]) -> None:
-        """Sends suspicions to the other daemon.
-
-        Raises:
-            NotSentError: There is no connection.
-        """
-        conn = await self.connect()
-        conn.send(frames.Ping(changed))
-
-    async def subscribe(self, frame: frames.Subscribe) -> None:
-        """Asks the other daemon for its records and those that follow.
+    async def send(self, frame: frames.Frame) -> None:
+        """Sends a frame that gets no reply of its own.
 
         Raises:
             NotSentError: There is no connection.
@@ -361,8 +351,12 @@
 
     def unsubscribe(self) -> None:
         """Ends the subscription to the other daemon's records."""
+        self.send_if_connected(frames.Subscribe({}))
+
+    def send_if_connected(self, frame: frames.Frame) -> None:
+        """Sends a frame if there is a connection."""
         if self._conn is not None:
-            self._conn.send(frames.Subscribe({}))
+            self._conn.send(frame)
 
     def request_load_report(self, now_s: float) -> None:
         """Requests a load report; connects if there is no connection yet."""
@@ -486,6 +480,8 @@
 
     Attributes:
         on_subscribe: Called with each subscription of a daemon.
+        on_unrecorded: Called with changes that the log has lost, from a daemon,
+            and with queries for them.
         on_end: Called when a daemon's connection has ended.
     """
 
@@ -494,6 +490,9 @@
         self._handler = handler
         self.on_subscribe: Callable[[FrameConnection, frames.Subscribe], None]
         self.on_subscribe = lambda conn, frame: None
+        self.on_unrecorded: Callable[
+            [FrameConnection, frames.Unrecorded | frames.UnrecordedQuery], None
+        ] = lambda conn, frame: None
         self.on_end: Callable[[FrameConnection], None] = lambda conn: None
         self._server: asyncio.Server | None = None
         self._conns: set[FrameConnection] = set()
@@ -554,6 +553,8 @@
             conn.send(self._handler.pong())
         elif isinstance(frame, frames.Subscribe):
             self.on_subscribe(conn, frame)
+        elif isinstance(frame, frames.Unrecorded | frames.UnrecordedQuery):
+            self.on_unrecorded(conn, frame)
 
     def _reply(
         self, conn: FrameConnection, fut: "asyncio.Future[frames.Frame]"
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -19,10 +19,12 @@
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import egress
 from buckthorn_sidecar import feeds
+from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
 from buckthorn_sidecar import interfaces
 from buckthorn_sidecar import links
 from buckthorn_sidecar import listeners
+from buckthorn_sidecar import recorders
 from buckthorn_sidecar import settings
 from buckthorn_sidecar import topic_followers
 
@@ -127,6 +129,7 @@
             applier.on_record,
             lambda removed_keys: None,
             self.meter,
+            applier.revision_of,
         )
         self._member_follower = topic_followers.TopicFollower(
             log,
@@ -135,6 +138,8 @@
             self._member_applier.on_record,
             self._member_applier.on_snapshot,
             self.meter,
+            self._member_applier.revision_of,
+            topic_followers.FED_MEMBERS_DELAY_S,
         )
         self._feed = feeds.Feed(
             cfg,
@@ -144,10 +149,13 @@
             self._egress.links,
             self._link_server,
             lambda: self.holder.number,
-            lambda: self._egress.newest_peer_version,
+            lambda: (
+                self._egress.newest_peer_version,
+                self._egress.newest_peer,
+            ),
             self.ingress.boot_id,
         )
-        self._registrar = topic_followers.Registrar(
+        self._registrar = recorders.Registrar(
             log,
             topics.members,
             cfg.daemon,
@@ -155,9 +163,18 @@
             self._member_follower.table,
         )
         self._member_applier.on_local_record = self._on_local_record
-        self._suspicion_recorder = topic_followers.SuspicionRecorder(
+        self._suspicion_recorder = recorders.SuspicionRecorder(
             log, topics.members, self._member_follower.table
         )
+        self._lost_record_writer = recorders.LostRecordWriter(
+            log,
+            topics.members,
+            cfg.daemon,
+            self._member_follower.table,
+            self._suspicion_recorder.is_own,
+            lambda: self._feed.is_root,
+        )
+        self._member_follower.on_lost = self._on_records_lost
         suspicions = self.ingress.suspicions
         suspicions.on_change = self._on_suspicion_change
         self._member_applier.on_suspicion = lambda s: suspicions.merge([s])
@@ -171,7 +188,15 @@
             "buckthorn_version", lambda: self.holder.number
         )
         self.meter.register_gauge(
-            "buckthorn_log_epoch", lambda: self._configuration_follower.epoch
+            "buckthorn_log_epoch",
+            lambda: self._configuration_follower.table.epoch,
+        )
+        self.meter.register_gauge(
+            "buckthorn_unrecorded_changes",
+            lambda: (
+                len(self._configuration_follower.table.unrecorded)
+                + len(self._member_follower.table.unrecorded)
+            ),
         )
         self.meter.register_gauge(
             "buckthorn_members", lambda: len(self.directory)
@@ -215,6 +240,7 @@
         self._member_follower.start()
         self._registrar.start()
         self._suspicion_recorder.start()
+        self._lost_record_writer.start()
         self._tasks = [
             asyncio.create_task(self._check_health_at_start()),
         ]
@@ -257,6 +283,7 @@
         self._feed.close()
         self._registrar.close()
         self._suspicion_recorder.close()
+        self._lost_record_writer.close()
         self._member_follower.close()
         self._configuration_follower.close()
         self.callers.close()
@@ -359,6 +386,13 @@
                 self._update_record(self._announced_slots)
         self._registrar.reconcile()
 
+    def _on_records_lost(self) -> None:
+        """Has this daemon's records written again that the log has lost."""
+        table = self._member_follower.table
+        table.merge_unrecorded(self._suspicion_recorder.lost_changes())
+        self._registrar.reconcile()
+        self._lost_record_writer.check()
+
     def _on_suspicion_change(
         self, changed: list[entries.CrashSuspicion]
     ) -> None:
@@ -388,7 +422,7 @@
         # A daemon that can't be reached now gets those from the crash limit on
         # with the next connection.
         with contextlib.suppress(links.NotSentError):
-            await link.notify(changed)
+            await link.send(frames.Ping(changed))
 
     async def _check_health_at_start(self) -> None:
         """Checks the health of an upstream that is already running.
--- a/packages/sidecar/buckthorn_sidecar/suspicions.py
+++ b/packages/sidecar/buckthorn_sidecar/suspicions.py
@@ -23,6 +23,7 @@
 from buckthorn_core import gossip
 from buckthorn_core import ids
 from buckthorn_core import quarantines
+from buckthorn_core import topic_tables
 
 # Most suspicions in the first message on a connection, the latest ones.
 MAX_EXCHANGED = 128
@@ -79,6 +80,11 @@
     return foreign_values.decode(_decoder, value)
 
 
+def revision_of(suspicion: entries.CrashSuspicion) -> topic_tables.Revision:
+    """Returns the revision of a suspicion's record."""
+    return suspicion.incarnation, suspicion.revision
+
+
 class Suspicions:
     """Counts crashes, refuses requests in quarantine and spreads changes.
 
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -1,4 +1,7 @@
-"""Replicates the configuration and member topics of the log."""
+"""Replicates the configuration and member topics of the log.
+
+`recorders` writes this daemon's own records.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -27,7 +30,11 @@
 # daemons wait for; a delay in member records does no harm.
 CONFIGURATION_WAIT_S = 0.8
 MEMBERS_WAIT_S = 5.0
-# Pause after an internal error or a failed write, in seconds.
+# How long a fed daemon that learns of a new epoch from the log leaves the
+# members to its feed, in seconds. If all daemons of a large mesh read all
+# members at once, the links between regions would be full for minutes.
+FED_MEMBERS_DELAY_S = 5.0
+# Pause after an internal error, in seconds.
 RETRY_INTERVAL_S = 0.8
 # Records that arrive within this time are read with one call, in seconds.
 BATCH_WINDOW_S = 0.5
@@ -35,19 +42,25 @@
 _logger = loguru.logger.bind(module=__name__)
 
 
+RecordsCallback = Callable[
+    ["TopicFollower", ids.Offset | None, topic_tables.Transition | None], None
+]
+
+
 class TopicFollower:
     """Keeps the newest record of each key, read from the log or a feed.
 
     Attributes:
         topic: The topic.
         table: The newest records.
-        epoch: Epoch of the log, as of the last read.
         synced: Set once the newest records have been read.
         confirmed_s: When the log last confirmed that the table is complete, in
             seconds on the event loop's monotonic clock.
         on_records: Called after records were applied, with the offset before
-            them; None after a snapshot.
+            them; None after a snapshot. The last argument is set if the table
+            has moved to another epoch.
         on_confirmed: Called after each successful read of the log.
+        on_lost: Called when the log may have lost records that are in force.
     """
 
     def __init__(
@@ -58,6 +71,10 @@
         on_record: Callable[[topic_tables.Record], None],
         on_snapshot: Callable[[set[str]], None],
         meter: metrics.Metrics,
+        revision_of: Callable[
+            [topic_tables.Record], topic_tables.Revision
+        ] = lambda record: topic_tables.NO_REVISION,
+        fed_delay_s: float = 0.0,
     ):
         """Creates the follower.
 
@@ -69,6 +86,9 @@
             on_snapshot: Called with the removed keys when a snapshot is
                 applied.
             meter: Counts failures.
+            revision_of: Returns the revision of a record; must not raise.
+            fed_delay_s: How long a new epoch of the log is left to the feed, if
+                there is one, in seconds.
         """
         self._log = log
         self.topic = topic
@@ -86,14 +106,18 @@
         self._may_read = asyncio.Event()
         self._may_read.set()
         self._read_mode_changed = asyncio.Event()
-        self.table = topic_tables.TopicTable()
-        self.epoch = topic_tables.FIRST_EPOCH
+        self._fed_delay_s = fed_delay_s
+        # When a read first showed an epoch that the table isn't in yet.
+        self._new_epoch_s: float | None = None
+        self._snapshot_has_gap = False
+        self.table = topic_tables.TopicTable(revision_of)
         self.synced = asyncio.Event()
         self.confirmed_s = -math.inf
-        self.on_records: Callable[[TopicFollower, ids.Offset | None], None] = (
-            lambda follower, start: None
+        self.on_records: RecordsCallback = lambda follower, start, transition: (
+            None
         )
         self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Starts following the topic."""
@@ -125,34 +149,96 @@
         if self._read is not None:
             self._read.cancel()
 
+    def expect_epoch(self, epoch: ids.LogEpoch) -> None:
+        """Reads a snapshot if the log is known to be in a later epoch.
+
+        A long poll at an offset of the old history would notice it late.
+        """
+        if (
+            epoch > self.table.epoch
+            and self._read_mode is feed_trees.ReadMode.ALWAYS
+        ):
+            self.reload()
+
     def apply(
         self,
         records: Sequence[topic_tables.Record],
         start: ids.Offset | None,
         end: ids.Offset,
+        epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH,
+        transition: topic_tables.Transition | None = None,
     ) -> bool:
         """Applies records from a start offset on, or a snapshot if it is None.
 
+        Args:
+            records: The records.
+            start: Offset from which on they are all records.
+            end: Offset of the next record.
+            epoch: Epoch of the log that they are from.
+            transition: Set if the records are those by which a table moves to
+                that epoch.
+
         Returns:
             Whether the records follow the known ones without a gap.
         """
-        previous_end = self.table.next_offset
+        if epoch < self.table.epoch:
+            # From a daemon that doesn't know yet that the log was restored.
+            return True
         if start is None:
-            self._needs_snapshot = False
-            removed_keys = self.table.replace(records, end)
-            self._on_snapshot(removed_keys)
-            applied: Sequence[topic_tables.Record] = records
-            self.synced.set()
-        elif previous_end is None or start > previous_end:
+            self._apply_snapshot(self.table.replace(records, end, epoch))
+            return True
+        if epoch > self.table.epoch:
+            replacement = transition and self.table.apply_transition(
+                transition, epoch
+            )
+            if replacement is None:
+                return False
+            self._apply_snapshot(replacement)
+            return True
+        previous_end = self.table.next_offset
+        if previous_end is None or start > previous_end:
             return False
-        else:
-            applied = self.table.put(records, end)
-        for record in applied:
+        for record in self.table.put(records, end):
             self._apply_record(record)
-        if applied or start is None:
-            self.on_records(self, None if start is None else previous_end)
+        if self.table.next_offset != previous_end:
+            self.on_records(self, previous_end, None)
         return True
 
+    def _apply_snapshot(self, replacement: topic_tables.Replacement) -> None:
+        self._needs_snapshot = False
+        transition = replacement.transition
+        if transition is not None:
+            _logger.warning(
+                "log_restored",
+                topic=self.topic,
+                epoch=self.table.epoch,
+                previous_end=transition.previous_end,
+                end=transition.end,
+                lost=len(transition.lost_keys),
+                unrecorded=len(self.table.unrecorded),
+            )
+        self._new_epoch_s = None
+        self._on_snapshot(replacement.removed_keys)
+        self.synced.set()
+        for record in replacement.records:
+            self._apply_record(record)
+        self.on_records(self, None, transition)
+        if transition is not None:
+            self.on_lost()
+
+    def merge_unrecorded(
+        self, changes: Sequence[topic_tables.UnrecordedChange]
+    ) -> list[topic_tables.UnrecordedChange]:
+        """Applies changes that the log has lost; returns the new ones."""
+        in_force = self.table.merge_unrecorded(changes)
+        for change in in_force:
+            self._apply_record(
+                topic_tables.Record(change.key, change.value, ids.Offset(-1))
+            )
+        if in_force:
+            self.on_lost()
+        return in_force
+
     def _apply_record(self, record: topic_tables.Record) -> None:
         """Applies a record; one that can't be applied must not stop others."""
         try:
@@ -204,13 +290,17 @@
         finally:
             self._read.cancel()
             self._read = None
-        if batch is not None and batch.epoch > self.epoch:
-            self._note_restored(batch)
         if batch is None:
-            _logger.warning("log_gap", topic=self.topic, start=start)
-            self._needs_snapshot = True
-            return True
-        self.apply(batch.records, start, batch.end)
+            return self._handle_gap(start)
+        self._snapshot_has_gap = False
+        if batch.epoch < self.table.epoch:
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE,
+                f"an answer of the earlier epoch {batch.epoch}",
+            )
+        if start is not None and batch.epoch > self.table.epoch:
+            return self._handle_new_epoch()
+        self.apply(batch.records, start, batch.end, batch.epoch)
         self.confirmed_s = batch.as_of_s
         self._had_records = bool(batch.records)
         self.on_confirmed()
@@ -221,6 +311,39 @@
             await asyncio.sleep(max(0.0, BATCH_WINDOW_S - spent_s))
         return True
 
+    def _handle_gap(self, start: ids.Offset | None) -> bool:
+        """Prepares a snapshot, as the log doesn't have an offset.
+
+        Raises:
+            errors.LogError: The log didn't have the end of a snapshot either.
+        """
+        _logger.warning("log_gap", topic=self.topic, start=start)
+        self._needs_snapshot = True
+        if self._snapshot_has_gap:
+            self._snapshot_has_gap = False
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE, f"no offset {start}"
+            )
+        self._snapshot_has_gap = True
+        return False
+
+    def _handle_new_epoch(self) -> bool:
+        """Prepares a snapshot, unless the feed will bring the new epoch.
+
+        Returns:
+            Whether the read is completed.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._new_epoch_s is None:
+            self._new_epoch_s = now_s
+        if (
+            self._read_mode is feed_trees.ReadMode.ONCE
+            and now_s - self._new_epoch_s < self._fed_delay_s
+        ):
+            return True
+        self._needs_snapshot = True
+        return False
+
     async def _fetch(self, start: ids.Offset | None) -> interfaces.Batch | None:
         if start is None:
             return await self._log.newest(self.topic)
@@ -238,23 +361,15 @@
     async def _read_latest(self, start: ids.Offset) -> interfaces.Batch | None:
         """Reads only the newest record of each key, not those in between."""
         position = await self._log.position(self.topic, self.table.last_key)
-        if position.end <= start:
-            return interfaces.Batch([], start, position.as_of_s)
+        if position.epoch != self.table.epoch or position.end <= start:
+            return interfaces.Batch([], start, position.as_of_s, position.epoch)
         if position.end == start + 1:
             return await self._log.read(self.topic, start, 0.0)
         batch = await self._log.newest(self.topic)
+        if batch.epoch != self.table.epoch:
+            return batch
         changes = self.table.changes_from_snapshot(batch.records, batch.end)
-        return interfaces.Batch(changes, batch.end, batch.as_of_s)
-
-    def _note_restored(self, batch: interfaces.Batch) -> None:
-        _logger.warning(
-            "log_restored",
-            topic=self.topic,
-            epoch=batch.epoch,
-            next_offset=self.table.next_offset,
-            end=batch.end,
-        )
-        self.epoch = batch.epoch
+        return interfaces.Batch(changes, batch.end, batch.as_of_s, batch.epoch)
 
     def _record_failure(self, exc: errors.LogError) -> None:
         self._meter.count("buckthorn_log_failures", topic=self.topic)
@@ -280,17 +395,17 @@
         self._on_version = on_version
         self._meter = meter
 
+    def revision_of(self, record: topic_tables.Record) -> topic_tables.Revision:
+        """Returns the version number of a record as its revision."""
+        version = self._decode_record(record)
+        if version is None:
+            return topic_tables.NO_REVISION
+        return version.number, 0
+
     def on_record(self, record: topic_tables.Record) -> None:
         """Applies a record of the configuration topic."""
-        if record.key != self._key or not record.value:
-            return
-        try:
-            version = self._decode(record.value)
-        except errors.ConfigError as exc:
-            self._meter.count("buckthorn_bad_records", kind="configuration")
-            _logger.warning(
-                "bad_configuration", offset=record.offset, error=str(exc)
-            )
+        version = self._decode_record(record)
+        if version is None:
             return
         if not self._holder.apply(version):
             _logger.info(
@@ -307,6 +422,21 @@
         )
         self._on_version(version)
 
+    def _decode_record(
+        self, record: topic_tables.Record
+    ) -> virtual_hosts.Version | None:
+        """Returns the version in a record; None if there is no valid one."""
+        if record.key != self._key or not record.value:
+            return None
+        try:
+            return self._decode(record.value)
+        except errors.ConfigError as exc:
+            self._meter.count("buckthorn_bad_records", kind="configuration")
+            _logger.warning(
+                "bad_configuration", offset=record.offset, error=str(exc)
+            )
+            return None
+
 
 class MemberApplier:
     """Applies member records to the directory.
@@ -332,6 +462,15 @@
             lambda suspicion: None
         )
 
+    def revision_of(self, record: topic_tables.Record) -> topic_tables.Revision:
+        """Returns the revision of a member or suspicion record."""
+        try:
+            if record.key.startswith(suspicions.KEY_PREFIX):
+                return suspicions.revision_of(suspicions.decode(record.value))
+            return directories.decode(record.value).revision, 0
+        except errors.ConfigError:
+            return topic_tables.NO_REVISION
+
     def on_record(self, record: topic_tables.Record) -> None:
         """Applies a record of the member topic."""
         if record.key.startswith(suspicions.KEY_PREFIX):
@@ -387,187 +526,3 @@
             self._on_removed(daemon)
         if daemon == self._daemon:
             self.on_local_record()
-
-
-class SuspicionRecorder:
-    """Records suspicions in the member topic, for daemons that start later."""
-
-    def __init__(
-        self,
-        log: interfaces.KeyedLog,
-        topic: str,
-        table: topic_tables.TopicTable,
-    ):
-        """Creates the recorder.
-
-        Args:
-            log: The log.
-            topic: The topic of members.
-            table: The records of that topic.
-        """
-        self._log = log
-        self._topic = topic
-        self._table = table
-        self._pending: dict[str, bytes] = {}
-        self._changed = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Starts writing."""
-        self._task = asyncio.create_task(self._write_loop())
-
-    def close(self) -> None:
-        """Stops writing."""
-        if self._task is not None:
-            self._task.cancel()
-
-    def record(self, suspicion: entries.CrashSuspicion) -> None:
-        """Records a suspicion, and deletes expired ones."""
-        for record in self._table.records_since(None):
-            if _is_expired_suspicion(record):
-                self._pending[record.key] = b""
-        key = suspicions.record_key(suspicion)
-        self._pending[key] = suspicions.encode(suspicion)
-        self._changed.set()
-
-    async def _write_loop(self) -> None:
-        while True:
-            await self._changed.wait()
-            self._changed.clear()
-            while self._pending:
-                key, value = next(iter(self._pending.items()))
-                try:
-                    await self._log.append(self._topic, key, value)
-                except errors.LogError as exc:
-                    _logger.warning("suspicion_not_written", error=str(exc))
-                    await asyncio.sleep(RETRY_INTERVAL_S)
-                    continue
-                if self._pending.get(key) == value:
-                    del self._pending[key]
-
-
-def _is_expired_suspicion(record: topic_tables.Record) -> bool:
-    if not record.value or not record.key.startswith(suspicions.KEY_PREFIX):
-        return False
-    try:
-        return suspicions.is_expired(suspicions.decode(record.value))
-    except errors.ConfigError:
-        return True
-
-
-class Registrar:
-    """Keeps this daemon's own record in the member topic up to date."""
-
-    def __init__(
-        self,
-        log: interfaces.KeyedLog,
-        topic: str,
-        daemon: ids.DaemonId,
-        directory: directories.Directory,
-        table: topic_tables.TopicTable,
-    ):
-        """Creates the registrar.
-
-        Args:
-            log: The log.
-            topic: The topic of members.
-            daemon: This daemon.
-            directory: The members.
-            table: The records of the topic.
-        """
-        self._log = log
-        self._topic = topic
-        self._daemon = daemon
-        self._directory = directory
-        self._table = table
-        # Offset of the last record that this process has written.
-        self._written_offset = ids.Offset(-1)
-        self._desired: directories.Registration | None = None
-        self._withdrawn = False
-        self._changed = asyncio.Event()
-        self._written = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Starts keeping the record up to date."""
-        self._task = asyncio.create_task(self._reconcile_loop())
-
-    def close(self) -> None:
-        """Stops keeping the record up to date."""
-        if self._task is not None:
-            self._task.cancel()
-
-    def set_desired(self, registration: directories.Registration) -> None:
-        """Sets the desired content of the record, unless it is withdrawn."""
-        if registration != self._desired and not self._withdrawn:
-            self._desired = registration
-            self._written.clear()
-            self._changed.set()
-
-    async def flush(self, timeout_s: float) -> bool:
-        """Waits until the record has its desired content.
-
-        Args:
-            timeout_s: The longest wait, in seconds.
-
-        Returns:
-            Whether it was written in time.
-        """
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._written.wait()
-        except TimeoutError:
-            return False
-        return True
-
-    def reconcile(self) -> None:
-        """Triggers a comparison of the record with its desired content."""
-        self._changed.set()
-
-    async def withdraw(self) -> None:
-        """Removes the record.
-
-        Raises:
-            errors.LogError: The log didn't respond.
-        """
-        self._withdrawn = True
-        self._desired = None
-        if self._directory.get(self._daemon) is not None:
-            await self._log.append(self._topic, self._daemon, b"")
-
-    async def _reconcile_loop(self) -> None:
-        while True:
-            await self._changed.wait()
-            self._changed.clear()
-            desired = self._desired
-            if desired is None or self._is_recorded(desired):
-                continue
-            try:
-                place = await self._log.append(
-                    self._topic, self._daemon, directories.encode(desired)
-                )
-                self._written_offset = place.offset
-                if desired == self._desired:
-                    self._written.set()
-                _logger.info("registered", daemon=self._daemon)
-            except errors.LogError as exc:
-                _logger.warning("registration_failed", error=str(exc))
-                await asyncio.sleep(RETRY_INTERVAL_S)
-                self._changed.set()
-
-    def _is_recorded(self, desired: directories.Registration) -> bool:
-        """Returns whether the record has a content, as far as is known.
-
-        A write that was taken for lost may take effect seconds later and
-        replace a newer record, and another daemon may remove the record. So
-        what is read behind the last write counts, and only that.
-        """
-        if self._written.is_set() and (
-            (self._table.next_offset or 0) <= self._written_offset
-        ):
-            return True
-        if self._directory.get(self._daemon) != desired:
-            self._written.clear()
-            return False
-        self._written.set()
-        return True
