Settle the version in force when the product's log was restored

Operators of the product's own daemons found that, after the log service had come back from an older copy, publications were accepted by nobody: log readers waited beyond the end of the log, or read on among other records. A publication based on the version before the lost one could replace a confirmed version.

The log's answers carry an epoch (header Log-Epoch). A reader that sees a new one reads the log anew. An epoch begins with a checkpoint that names it, written by a reader that knows the version in force; until then nothing is put in force, and publications made in that epoch are held. One that was accepted before the checkpoint is overruled if it has the number of the version in force. Clients wait for the checkpoint, too. Records of epoch 0 are signed as before.

--- a/packages/adapters/buckthorn_adapters/log_clients.py
+++ b/packages/adapters/buckthorn_adapters/log_clients.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
 MAX_BATCH_BYTES = 64 * 1_048_576
+# Of all responses: rises each time the log is restored from a copy.
+EPOCH_HEADER = "Log-Epoch"
 
 CountBytes = Callable[[str, int], None]
 
@@ -74,7 +76,7 @@
                 errors.Code.RECORD_TOO_LARGE,
                 f"record of {len(compressed)} bytes is too large",
             )
-        body = self._request(
+        body, _ = self._request(
             "POST", f"/v1/streams/{stream}/records", "log_append", compressed
         )
         try:
@@ -93,7 +95,7 @@
         Raises:
             errors.LogError: The log can't be read now.
         """
-        body = self._request(
+        body, epoch = self._request(
             "GET",
             f"/v1/streams/{stream}/records?from={start}&limit={limit}",
             "log_read",
@@ -111,11 +113,13 @@
                 )
                 for r in batch.records
             ],
+            epoch=epoch,
         )
 
     def _request(
         self, method: str, path: str, kind: str, body: bytes = b""
-    ) -> bytes:
+    ) -> tuple[bytes, ids.LogEpoch]:
+        """Returns the response's body and the log's epoch."""
         options: dict[str, Any] = {"body": body} if body else {}
         try:
             resp = self._pool.request(
@@ -139,7 +143,8 @@
             raise errors.LogError(
                 errors.Code.LOG_UNAVAILABLE, f"status {resp.status}", 1.0
             )
-        return data
+        epoch = resp.headers.get(EPOCH_HEADER, "")
+        return data, ids.LogEpoch(int(epoch) if epoch.isdecimal() else 0)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/packages/client/buckthorn_client/following.py
+++ b/packages/client/buckthorn_client/following.py
@@ -57,11 +57,15 @@
         """
         if not self._started:
             self._start(wanted)
-        acceptor = self.acceptor
         while True:
+            acceptor = self.acceptor
             batch = self._log.read(
                 records.CONFIG_STREAM, acceptor.next_offset, READ_LIMIT
             )
+            if batch.epoch != acceptor.epoch:
+                self.acceptor = acceptor.restarted(batch.epoch)
+                self._verdicts.clear()
+                continue
             acceptor.set_log_start(batch.first)
             for record in batch.records:
                 self._apply(record)
@@ -76,7 +80,8 @@
         self, publication: ids.PublicationId
     ) -> acceptance.Outcome | None:
         """Returns what became of a publication, if it has been read."""
-        return self._verdicts.get(publication)
+        verdicts = self._verdicts
+        return self.acceptor.settled.get(publication, verdicts.get(publication))
 
     def bundle_of(self, number: ids.VersionNumber) -> bundles.Bundle | None:
         """Returns the bundle of an accepted version, None for version 0.
@@ -125,6 +130,12 @@
                 " that does not help, peer_key in the settings is not that of"
                 " the daemons",
             )
+        if not self.acceptor.is_settled:
+            raise errors.LogError(
+                errors.Code.LOG_GAP,
+                "the log was restored from a copy, and no daemon has written"
+                " yet which version is in force; try again in some seconds",
+            )
 
     def _check_key(self) -> None:
         """Finds a wrong key, with which only the own publication counts.
--- a/packages/client/buckthorn_client/publishing.py
+++ b/packages/client/buckthorn_client/publishing.py
@@ -75,6 +75,7 @@
                 author=author,
                 time_ms=time.time_ns() // 1_000_000,
                 bundle=bundles.encode(bundle),
+                epoch=self.follower.acceptor.epoch,
             ),
             self._publish_key,
         )
--- a/packages/core/buckthorn_core/acceptance.py
+++ b/packages/core/buckthorn_core/acceptance.py
@@ -116,6 +116,9 @@
         gapped: Whether records expired from the log before they were read.
         checkpoint_version: Version of the last valid checkpoint.
         checkpoint_count: Number of valid checkpoints.
+        epoch: Epoch of the log that the records are from.
+        recorded_epoch: Latest epoch that a checkpoint was written in.
+        settled: What became of publications that were held or overruled.
         contradicted: Whether the last valid checkpoint has a lower version
             than the accepted one, as of the same or a later offset.
         position: Version and offset that belong together; replaced as a
@@ -123,7 +126,12 @@
         history: The latest accepted publications.
     """
 
-    def __init__(self, publish_key: bytes, peer_key: bytes):
+    def __init__(
+        self,
+        publish_key: bytes,
+        peer_key: bytes,
+        epoch: ids.LogEpoch = ids.FIRST_EPOCH,
+    ):
         self._publish_key = publish_key
         self._peer_key = peer_key
         self.version = bundles.NO_VERSION
@@ -132,6 +140,9 @@
         self.gapped = False
         self.checkpoint_version = bundles.NO_VERSION
         self.checkpoint_count = 0
+        self.epoch = epoch
+        self.recorded_epoch = ids.FIRST_EPOCH
+        self.settled: dict[ids.PublicationId, Outcome] = {}
         self.contradicted = False
         self.position = Position(bundles.NO_VERSION, b"", ids.Offset(-1))
         self._version_offset = ids.Offset(-1)
@@ -141,6 +152,18 @@
         self._gap_end = ids.Offset(0)
         self._pending: collections.deque[_Pending] = collections.deque()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether a checkpoint says which version its epoch begins with.
+
+        Until then the log may lack a version that is in force.
+        """
+        return self.recorded_epoch >= self.epoch
+
+    def restarted(self, epoch: ids.LogEpoch) -> "Acceptor":
+        """Returns an acceptor for the records of a log that was restored."""
+        return Acceptor(self._publish_key, self._peer_key, epoch)
+
     def set_log_start(self, first: ids.Offset) -> None:
         """Detects expired records from the first offset of the log."""
         if first > self.next_offset:
@@ -172,7 +195,7 @@
         self, offset: ids.Offset, record: records.Record
     ) -> Outcome:
         if isinstance(record, records.Publication):
-            if self.gapped:
+            if self.gapped or record.epoch > self.recorded_epoch:
                 return self._hold(offset, record)
             return self._apply_publication(offset, record)
         if isinstance(record, records.Checkpoint):
@@ -193,6 +216,7 @@
             # The dropped record is part of the gap: the checkpoint that
             # closes it must cover this record too.
             dropped = self._pending.popleft()
+            self.gapped = True
             self._gap_end = ids.Offset(dropped.offset + 1)
         return Outcome(Verdict.GAPPED, self.version)
 
@@ -227,7 +251,10 @@
     def _apply_checkpoint(self, record: records.Checkpoint) -> Outcome:
         if not records.has_valid_mac(record, self._peer_key):
             return Outcome(Verdict.UNSIGNED, self.version)
-        if bundles.digest(record.bundle) != record.version.digest:
+        # An epoch may begin without a version.
+        if record.version != bundles.NO_VERSION and (
+            bundles.digest(record.bundle) != record.version.digest
+        ):
             return Outcome(Verdict.INVALID, self.version, "digest differs")
         self.checkpoint_version = record.version
         self.checkpoint_count += 1
@@ -235,28 +262,65 @@
             record.version.number < self.version.number
             and record.as_of >= self._version_offset
         )
-        adopted = record.version.number > self.version.number
+        begins_epoch = record.epoch > self.recorded_epoch
+        if begins_epoch:
+            self.recorded_epoch = record.epoch
+            self._overrule(record.version)
+        adopted = record.version.number > self.version.number or (
+            begins_epoch and record.version.number == self.version.number
+        )
         if adopted:
             self.version = record.version
             self.raw = record.bundle
             self._version_offset = record.as_of
         if self.gapped and record.as_of + 1 >= self._gap_end:
-            self._close_gap(record.as_of)
+            self.gapped = False
+            self._release(record.as_of)
             return Outcome(Verdict.COVERED, self.version)
+        if begins_epoch and not self.gapped:
+            self._release(ids.Offset(-1))
         verdict = Verdict.ADOPTED if adopted else Verdict.IGNORED
         return Outcome(verdict, self.version)
 
-    def _close_gap(self, as_of: ids.Offset) -> None:
-        self.gapped = False
+    def _overrule(self, version: bundles.VersionId) -> None:
+        """Notes which publications a version that is in force overrules.
+
+        They were appended to a restored log before the version that it had
+        lost was written again.
+        """
+        for entry in self.history:
+            if (
+                entry.version.number == version.number
+                and entry.version != version
+            ):
+                self.settled[entry.publication] = Outcome(
+                    Verdict.STALE, version, "the log had lost a version"
+                )
+
+    def _release(self, as_of: ids.Offset) -> None:
+        """Applies the publications that were held.
+
+        Args:
+            as_of: Offset up to which a checkpoint covers the records.
+        """
         pending = self._pending
         self._pending = collections.deque()
         for item in pending:
-            if item.offset > as_of:
-                self._apply_publication(item.offset, item.record)
+            if item.record.epoch > self.recorded_epoch:
+                self._pending.append(item)
+            elif item.offset > as_of:
+                outcome = self._apply_publication(item.offset, item.record)
+                # An append that was repeated stays accepted.
+                if outcome.verdict is not Verdict.DUPLICATE:
+                    self.settled[item.record.id] = outcome
 
 
 def make_checkpoint(
-    version: bundles.VersionId, raw: bytes, as_of: ids.Offset, key: bytes
+    version: bundles.VersionId,
+    raw: bytes,
+    as_of: ids.Offset,
+    key: bytes,
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH,
 ) -> records.Checkpoint:
     """Returns a signed checkpoint of a version.
 
@@ -265,8 +329,11 @@
         raw: Its encoded bundle.
         as_of: Last offset that the version accounts for.
         key: The peer key.
+        epoch: Epoch of the log.
     """
-    record = records.Checkpoint(version=version, as_of=as_of, bundle=raw)
+    record = records.Checkpoint(
+        version=version, as_of=as_of, bundle=raw, epoch=epoch
+    )
     signed = records.sign(record, key)
     assert isinstance(signed, records.Checkpoint)
     return signed
--- a/packages/core/buckthorn_core/checkpoint_schedules.py
+++ b/packages/core/buckthorn_core/checkpoint_schedules.py
@@ -16,6 +16,8 @@
 # only if those of lower rank failed to. With a period of less than half of the
 # retention, a checkpoint is still written well within the retention.
 RANK_DELAY_FRACTION = 0.25
+# Delay by rank of the first checkpoint after the log was restored, in seconds.
+EPOCH_RANK_DELAY_S = 1.0
 
 
 class Reason(enum.Enum):
@@ -25,11 +27,13 @@
         PERIOD: The period since the last one has passed.
         CORRECTION: The version in force is ahead of the log.
         RECOVERY: The reader has had a gap for too long.
+        EPOCH: The log was restored, and must say which version is in force.
     """
 
     PERIOD = "period"
     CORRECTION = "correction"
     RECOVERY = "recovery"
+    EPOCH = "epoch"
 
 
 def writer_rank(
@@ -67,6 +71,7 @@
         self._period_s = period_s
         self._last_checkpoint_s: float | None = None
         self._gapped_since_s: float | None = None
+        self._unsettled_since_s: float | None = None
 
     def note_checkpoint(self, now_s: float, age_s: float) -> None:
         """Records a checkpoint in the log that was appended `age_s` ago."""
@@ -82,6 +87,13 @@
         elif self._gapped_since_s is None:
             self._gapped_since_s = now_s
 
+    def note_unsettled(self, unsettled: bool, now_s: float) -> None:
+        """Records whether the log's epoch has no checkpoint yet."""
+        if not unsettled:
+            self._unsettled_since_s = None
+        elif self._unsettled_since_s is None:
+            self._unsettled_since_s = now_s
+
     def note_appended(self, now_s: float) -> None:
         """Records that a checkpoint was, or may have been, appended.
 
@@ -92,7 +104,13 @@
             self._gapped_since_s = now_s
 
     def due(
-        self, rank: int, at_end: bool, ahead: bool, remote: bool, now_s: float
+        self,
+        rank: int,
+        at_end: bool,
+        ahead: bool,
+        remote: bool,
+        now_s: float,
+        ready: bool = True,
     ) -> Reason | None:
         """Returns why a checkpoint is due now, or None.
 
@@ -104,6 +122,8 @@
                 accepted by the log's records.
             remote: Whether the reader is outside the log's region.
             now_s: Steady time, in seconds.
+            ready: Whether the version in force here is known to be the highest
+                of the site.
         """
         if not at_end:
             return None
@@ -111,6 +131,8 @@
             wait_s = REMOTE_RECOVERY_WAIT_S if remote else RECOVERY_WAIT_S
             waited_s = now_s - self._gapped_since_s
             return Reason.RECOVERY if waited_s >= wait_s * (rank + 1) else None
+        if self._unsettled_since_s is not None:
+            return self._epoch_reason(rank, remote, now_s, ready)
         if ahead:
             return Reason.CORRECTION
         if self._last_checkpoint_s is None:
@@ -121,3 +143,20 @@
             if now_s - self._last_checkpoint_s >= period_s
             else None
         )
+
+    def _epoch_reason(
+        self, rank: int, remote: bool, now_s: float, ready: bool
+    ) -> Reason | None:
+        """Returns whether to write the first checkpoint of an epoch.
+
+        A reader that doesn't know the version in force leaves it to others, or
+        waits as after a gap.
+        """
+        assert self._unsettled_since_s is not None
+        waited_s = now_s - self._unsettled_since_s
+        if ready and not remote:
+            wait_s = EPOCH_RANK_DELAY_S * rank
+        else:
+            wait_s = REMOTE_RECOVERY_WAIT_S if remote else RECOVERY_WAIT_S
+            wait_s *= rank + 1
+        return Reason.EPOCH if waited_s >= wait_s else None
--- a/packages/core/buckthorn_core/claims.py
+++ b/packages/core/buckthorn_core/claims.py
@@ -89,6 +89,7 @@
             the stream had no record left.
         items: Claims and final outcomes, in order.
         mac: Authentication code under the peer key.
+        epoch: Epoch of the log that the writer had read.
     """
 
     id: bytes
@@ -97,6 +98,7 @@
     read_time_ms: int
     items: list[Claim | Final]
     mac: bytes = b""
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class Verdict(enum.Enum):
--- a/packages/core/buckthorn_core/ids.py
+++ b/packages/core/buckthorn_core/ids.py
@@ -17,3 +17,5 @@
 Address = NewType("Address", str)
 InstanceId = NewType("InstanceId", str)
 RequestId = NewType("RequestId", str)
+
+FIRST_EPOCH = LogEpoch(0)
--- a/packages/core/buckthorn_core/ports.py
+++ b/packages/core/buckthorn_core/ports.py
@@ -22,11 +22,14 @@
         first: First offset that the stream still holds.
         end: Offset of the next record to be appended.
         records: The records, ordered by offset.
+        epoch: Epoch of the log; rises each time it is restored from a copy.
+            Offsets can only be compared within an epoch.
     """
 
     first: ids.Offset
     end: ids.Offset
     records: Sequence[LogRecord]
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class LogService(Protocol):
--- a/packages/core/buckthorn_core/records.py
+++ b/packages/core/buckthorn_core/records.py
@@ -26,6 +26,7 @@
         time_ms: Time of publication, in ms since the epoch.
         bundle: The encoded bundle.
         mac: Message authentication code under the publishing key.
+        epoch: Epoch of the log that the client has read.
     """
 
     id: ids.PublicationId
@@ -34,6 +35,7 @@
     time_ms: int
     bundle: bytes
     mac: bytes = b""
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class Checkpoint(
@@ -46,12 +48,14 @@
         as_of: Last offset that the version accounts for.
         bundle: The encoded bundle.
         mac: Message authentication code under the peer key.
+        epoch: Epoch of the log that the offset is from.
     """
 
     version: bundles.VersionId
     as_of: ids.Offset
     bundle: bytes
     mac: bytes = b""
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class Contacts(msgspec.Struct, frozen=True, array_like=True, tag="contacts"):
@@ -114,13 +118,21 @@
 
     The code is computed over the record with an empty `mac`.
     """
-    unsigned = msgspec.structs.replace(record, mac=b"")
     return msgspec.structs.replace(
-        unsigned, mac=signing.sign(key, _encoder.encode(unsigned))
+        record, mac=signing.sign(key, _signed_data(record))
     )
 
 
 def has_valid_mac(record: _SignedRecord, key: bytes) -> bool:
     """Returns whether the record's authentication code is right."""
+    return signing.verify(key, _signed_data(record), record.mac)
+
+
+def _signed_data(record: _SignedRecord) -> bytes:
+    """Returns what the authentication code is computed over."""
     unsigned = msgspec.structs.replace(record, mac=b"")
-    return signing.verify(key, _encoder.encode(unsigned), record.mac)
+    if unsigned.epoch:
+        return _encoder.encode(unsigned)
+    # Records had no epoch at first, and those in logs have to stay valid.
+    fields = msgspec.structs.astuple(unsigned)[:-1]
+    return _encoder.encode([type(record).__struct_config__.tag, *fields])
--- a/packages/core/buckthorn_core/topic_tables.py
+++ b/packages/core/buckthorn_core/topic_tables.py
@@ -16,8 +16,6 @@
 from buckthorn_core import ids
 from buckthorn_core import log_reads
 
-FIRST_EPOCH = ids.LogEpoch(0)
-
 # Orders the records of a key by their content; writers raise it.
 Revision = tuple[int, int]
 # Of a record that has no revision or can't be read.
@@ -121,7 +119,7 @@
             revision_of: Returns the revision of a record that has a value.
         """
         self._revision_of = revision_of
-        self.epoch = FIRST_EPOCH
+        self.epoch = ids.FIRST_EPOCH
         self.next_offset: ids.Offset | None = None
         self._by_key: dict[str, Record] = {}
         # Of keys without a value, the revision of the one that was deleted.
--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -84,11 +84,20 @@
             self._at_end = False
             raise
         self._failures = 0
+        if batch.epoch != acceptor.epoch:
+            self._enter_epoch(batch)
+            return
         acceptor.set_log_start(batch.first)
         for record in batch.records:
             self._apply_record(record)
         self._at_end = at_end = acceptor.next_offset >= batch.end
         self._update_gapped()
+        self._schedule.note_unsettled(
+            at_end and not acceptor.is_settled, time.monotonic()
+        )
+        if not acceptor.is_settled:
+            # The log may lack a version that is in force elsewhere.
+            return
         if acceptor.version.number > self._shared.holder.version.number:
             self._shared.apply(acceptor.version, acceptor.raw)
         if at_end and not acceptor.gapped:
@@ -99,6 +108,28 @@
             )
             self._record_confirmation(started_s)
 
+    def _enter_epoch(self, batch: ports.LogBatch) -> None:
+        """Starts to read the log anew after it was restored.
+
+        Raises:
+            errors.LogError: The answer is older than one that came before.
+        """
+        acceptor = self._shared.acceptor
+        self._at_end = False
+        if batch.epoch < acceptor.epoch:
+            raise errors.LogError(
+                errors.Code.LOG_UNAVAILABLE,
+                f"an answer of the earlier epoch {batch.epoch}",
+            )
+        _logger.warning(
+            "log_restored",
+            topic=records.CONFIG_STREAM,
+            epoch=batch.epoch,
+            previous_end=acceptor.next_offset,
+            end=batch.end,
+        )
+        self._shared.acceptor = acceptor.restarted(batch.epoch)
+
     def _record_confirmation(self, started_s: float) -> None:
         shared = self._shared
         if shared.acceptor.version.number >= shared.holder.version.number:
@@ -135,7 +166,12 @@
             return
         now_s = time.monotonic()
         reason = self._schedule.due(
-            rank, self._at_end, self._ahead_of_log, remote, now_s
+            rank,
+            self._at_end,
+            self._ahead_of_log,
+            remote,
+            now_s,
+            shared.holder.ready,
         )
         if reason is None:
             return
@@ -159,12 +195,22 @@
         shared = self._shared
         version, raw, as_of = shared.acceptor.position
         snapshot = shared.holder.current
-        if snapshot is not None and snapshot.version.number > version.number:
+        if snapshot is not None and (
+            snapshot.version.number > version.number
+            or (
+                snapshot.version.number == version.number
+                and not shared.acceptor.is_settled
+            )
+        ):
             version, raw = snapshot.version, snapshot.raw
-        if version.number == 0:
+        if version.number == 0 and shared.acceptor.is_settled:
             return
         record = acceptance.make_checkpoint(
-            version, raw, as_of, shared.cfg.peer_key.encode()
+            version,
+            raw,
+            as_of,
+            shared.cfg.peer_key.encode(),
+            shared.acceptor.epoch,
         )
         try:
             self._log.append(records.CONFIG_STREAM, records.encode(record))
--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -520,7 +520,7 @@
         end, offset = table.next_offset, frame.positions.get(topic)
         if end is None:
             return None
-        epoch = frame.epochs.get(topic, topic_tables.FIRST_EPOCH)
+        epoch = frame.epochs.get(topic, ids.FIRST_EPOCH)
         transition = self._transitions.get(topic)
         if offset is not None and epoch == table.epoch:
             records = table.records_since(ids.Offset(offset))
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -96,7 +96,7 @@
     records: Sequence[topic_tables.Record]
     end: ids.Offset
     as_of_s: float
-    epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class Position(NamedTuple):
@@ -111,7 +111,7 @@
 
     end: ids.Offset
     as_of_s: float
-    epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH
+    epoch: ids.LogEpoch = ids.FIRST_EPOCH
 
 
 class KeyedLog(Protocol):
--- a/packages/sidecar/buckthorn_sidecar/recorders.py
+++ b/packages/sidecar/buckthorn_sidecar/recorders.py
@@ -146,7 +146,7 @@
         self._table = table
         # Place and revision of the last record that this process has written.
         self._written_place = topic_tables.Place(
-            topic_tables.FIRST_EPOCH, ids.Offset(-1)
+            ids.FIRST_EPOCH, ids.Offset(-1)
         )
         self._revision = 0
         self._rng = random.Random()
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -165,7 +165,7 @@
         records: Sequence[topic_tables.Record],
         start: ids.Offset | None,
         end: ids.Offset,
-        epoch: ids.LogEpoch = topic_tables.FIRST_EPOCH,
+        epoch: ids.LogEpoch = ids.FIRST_EPOCH,
         transition: topic_tables.Transition | None = None,
     ) -> bool:
         """Applies records from a start offset on, or a snapshot if it is None.
--- a/packages/standins/buckthorn_standins/log_service.py
+++ b/packages/standins/buckthorn_standins/log_service.py
@@ -1,12 +1,14 @@
 """Stand-in for the platform's log service, with faults that can be set.
 
 Interface: `POST /v1/streams/NAME/records` appends, `GET` on the same path
-with `from` and `limit` reads, `POST /v1/faults` sets `Faults`, and
+with `from` and `limit` reads, `POST /v1/faults` sets `Faults`,
+`POST /v1/copy` copies all streams, `POST /v1/restore` brings the copy back, and
 `GET /v1/requests` returns the number of requests on streams by period of 100
 ms since the epoch.
 """
 
 import collections
+import copy
 import threading
 import time
 from typing import Any
@@ -87,22 +89,33 @@
         self._tokens = appends_per_s
         self._refilled_s = time.monotonic()
         self._requests: collections.Counter[int] = collections.Counter()
+        self._copy: dict[str, Stream] = {}
+        self._epoch = 0
         self.faults = Faults()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Serves a request."""
         status, body = self._serve(environ)
-        start_response(status, [("Content-Length", str(len(body)))])
+        start_response(
+            status,
+            [
+                ("Content-Length", str(len(body))),
+                ("Log-Epoch", str(self._epoch)),
+            ],
+        )
         return [body]
 
     def _serve(self, environ: dict[str, Any]) -> tuple[str, bytes]:
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
-        if path == "/v1/faults":
-            return self._set_faults(_read_body(environ))
-        if path == "/v1/requests":
-            with self._lock:
-                return "200 OK", msgspec.json.encode(self._requests)
+        control = {
+            "/v1/faults": lambda: self._set_faults(_read_body(environ)),
+            "/v1/copy": self._copy_streams,
+            "/v1/restore": self._restore_streams,
+            "/v1/requests": self._list_requests,
+        }.get(path)
+        if control is not None:
+            return control()
         self._count_request()
         if self.faults.delay_ms:
             time.sleep(self.faults.delay_ms / 1000)
@@ -125,6 +138,22 @@
                 stream.drop(self.faults.drop_before)
         return "200 OK", b"{}"
 
+    def _copy_streams(self) -> tuple[str, bytes]:
+        with self._lock:
+            self._copy = copy.deepcopy(self._streams)
+        return "200 OK", b"{}"
+
+    def _restore_streams(self) -> tuple[str, bytes]:
+        """Brings the copy back: what was appended since is lost."""
+        with self._lock:
+            self._streams = copy.deepcopy(self._copy)
+            self._epoch += 1
+        return "200 OK", b"{}"
+
+    def _list_requests(self) -> tuple[str, bytes]:
+        with self._lock:
+            return "200 OK", msgspec.json.encode(self._requests)
+
     def _count_request(self) -> None:
         period = time.time_ns() // (COUNT_PERIOD_MS * 1_000_000)
         with self._lock:
--- a/tests/fakes/bundles.py
+++ b/tests/fakes/bundles.py
@@ -35,7 +35,10 @@
 
 
 def publication(
-    name: str, based_on: bundles.VersionId, service: str = "stock"
+    name: str,
+    based_on: bundles.VersionId,
+    service: str = "stock",
+    epoch: int = 0,
 ) -> records.Publication:
     return records.sign(
         records.Publication(
@@ -44,6 +47,7 @@
             "tester",
             0,
             encode_bundle(name, service),
+            epoch=ids.LogEpoch(epoch),
         ),
         KEY,
     )
--- a/tests/fakes/keyed_logs.py
+++ b/tests/fakes/keyed_logs.py
@@ -23,7 +23,7 @@
 
     def __init__(self, records):
         self.records = records
-        self.epoch = topic_tables.FIRST_EPOCH
+        self.epoch = ids.FIRST_EPOCH
         self.appended = []
         self.read_offsets = []
         self.calls = []
--- a/tests/fakes/logs.py
+++ b/tests/fakes/logs.py
@@ -1,6 +1,7 @@
 """Fake log with retention, outages and lost responses."""
 
 import collections
+import copy
 
 from buckthorn_core import errors
 from buckthorn_core import ids
@@ -27,11 +28,14 @@
             fail.
         read_limit: Most records of one read; a small limit makes a slow log.
         cut: Names of readers that can't reach the log.
+        epoch: Rises with each restoration.
     """
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._streams: dict[str, _Stream] = collections.defaultdict(_Stream)
+        self._copy: dict[str, _Stream] = {}
+        self.epoch = ids.LogEpoch(0)
         self.down = False
         self.failures_after_append = 0
         self.read_limit = 256
@@ -61,8 +65,19 @@
             ids.Offset(stored.first),
             ids.Offset(stored.end),
             stored.records[index : index + max_records],
+            self.epoch,
         )
 
+    def back_up(self) -> None:
+        """Keeps a copy for `restore`."""
+        self._copy = copy.deepcopy(dict(self._streams))
+
+    def restore(self) -> None:
+        """Comes back from the copy; what was appended since is lost."""
+        self._streams.clear()
+        self._streams.update(copy.deepcopy(self._copy))
+        self.epoch = ids.LogEpoch(self.epoch + 1)
+
     def expire(self, stream: str, before: int) -> None:
         """Deletes the records below an offset, as retention does."""
         stored = self._streams[stream]
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -141,7 +141,7 @@
                 key=lambda v: v.number,
             )
         record = bundles.publication(
-            f"p{self._publications}", based_on, service
+            f"p{self._publications}", based_on, service, self.log.epoch
         )
         return self.log.append(records.CONFIG_STREAM, records.encode(record))
 
