Write claims of operation keys again that a restored log has lost

A keyed request could run twice: a claim that the log had lost was known to the partition's owner only, and an owner that started later granted the key again.

Owners compare what they know with the new history, and write what it lacks again in spaced batches; the last one states the epoch. An owner that finds no such batch and does not know what was lost refuses new keys for a key's lifetime. Idle owners that know keys read their stream every 10 s, to notice a restoration.

Limit: with two owners at once, what one of them granted since the other read is lost if it restarts before it has written it again.

--- a/packages/core/buckthorn_core/key_tables.py
+++ b/packages/core/buckthorn_core/key_tables.py
@@ -30,7 +30,7 @@
     claims.Outcome.RELEASED: KeyState.RELEASED,
     claims.Outcome.UNKNOWN: KeyState.UNKNOWN,
 }
-
+_OUTCOMES = {state: outcome for outcome, state in _STATES.items()}
 
 # Shared, because an empty list per key would take a tenth of a key's memory.
 _NO_HEADERS: list[tuple[str, str]] = []
@@ -95,6 +95,9 @@
         next_offset: Offset of the next record.
         gap_until_ms: Log time until which a claim in dropped records may
             still hold its key, because the log dropped them too early.
+        lost_until_ms: The same for claims that a restored log has lost.
+        recorded_epoch: Latest epoch of the log in which an owner has written
+            what was lost.
     """
 
     def __init__(self, retention_ms: int) -> None:
@@ -107,6 +110,10 @@
         self._answer_sizes: dict[bytes, int] = {}
         self._answer_bytes = 0
         self._gap_ahead = False
+        self.lost_until_ms = 0
+        self.recorded_epoch = ids.FIRST_EPOCH
+        # Keys whose latest state the log's present history may lack.
+        self._unseen: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -123,6 +130,38 @@
         self._gap_ahead = is_cut
         self.next_offset = offset
 
+    def enter_epoch(self) -> None:
+        """Prepares for the records of a log that was restored.
+
+        Known keys stay, and are compared with what is read.
+        """
+        self._unseen = set(self._entries)
+
+    def lost_items(self) -> list[claims.Claim | claims.Final]:
+        """Returns the items that bring back what the log has lost."""
+        items: list[claims.Claim | claims.Final] = []
+        for key in self._unseen:
+            entry = self._get_live(key)
+            if entry is None:
+                continue
+            run_ms = max(0, entry.end_ms - self.time_ms)
+            items.append(
+                claims.Claim(key, entry.token, entry.fingerprint, run_ms)
+            )
+            outcome = _OUTCOMES.get(entry.state)
+            if outcome is not None:
+                items.append(
+                    claims.Final(
+                        key,
+                        entry.token,
+                        outcome,
+                        entry.status,
+                        entry.headers,
+                        entry.answer,
+                    )
+                )
+        return items
+
     def apply(
         self,
         offset: ids.Offset,
@@ -140,6 +179,8 @@
         self.time_ms = time_ms
         self.next_offset = ids.Offset(offset + 1)
         self._remove_expired()
+        if batch is not None:
+            self.recorded_epoch = max(self.recorded_epoch, batch.epoch)
         lost = []
         for item in batch.items if batch else []:
             if isinstance(item, claims.Final):
@@ -196,10 +237,14 @@
         entry = self._get_live(claim.key)
         if entry is not None:
             if entry.token == claim.token:
+                if entry.state is KeyState.CLAIMED:
+                    self._unseen.discard(claim.key)
                 return True
             if entry.state is not KeyState.RELEASED:
                 return False
-        may_have_predecessor = self.time_ms < self.gap_until_ms
+        may_have_predecessor = self.time_ms < max(
+            self.gap_until_ms, self.lost_until_ms
+        )
         self._put(
             claim.key, KeyEntry(claim, self.time_ms, may_have_predecessor)
         )
@@ -213,6 +258,8 @@
             claim = claims.Claim(final.key, final.token, b"", 0)
             entry = KeyEntry(claim, self.time_ms, False)
             self._put(final.key, entry)
+        if entry.token == final.token:
+            self._unseen.discard(final.key)
         if entry.token != final.token or entry.state is not KeyState.CLAIMED:
             return
         entry.state = _STATES[final.outcome]
@@ -232,6 +279,7 @@
 
     def _put(self, key: bytes, entry: KeyEntry) -> None:
         self._drop_answer(key)
+        self._unseen.discard(key)
         self._entries.pop(key, None)
         self._entries[key] = entry
 
@@ -258,6 +306,7 @@
             if entry.key_expires_ms > self.time_ms:
                 return
             del self._entries[key]
+            self._unseen.discard(key)
             self._drop_answer(key)
 
     def _apply_gap(
--- a/packages/core/buckthorn_core/partition_owners.py
+++ b/packages/core/buckthorn_core/partition_owners.py
@@ -2,7 +2,15 @@
 
 The owner grants a claim only after it has read the claim from the log's stream
 and found no earlier claim of the key. Two concurrent owners are therefore
-harmless: both read the same order. The class does no I/O: its caller gets the
+harmless: both read the same order.
+
+When the log is restored from a copy, it lacks claims that were granted. An
+owner that had read them writes them again, and says with the last of these
+batches that the epoch is recorded. An owner that doesn't know what was lost,
+and finds no such batch, refuses keys that are new to it for as long as a key
+lives.
+
+The class does no I/O: its caller gets the
 next step from it, executes the step, and reports the result.
 """
 
@@ -33,6 +41,9 @@
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
 READ_RETRY_DELAY_S = 0.01
+# Interval at which an idle owner that knows keys reads its stream, in seconds,
+# to notice that the log was restored.
+IDLE_REFRESH_INTERVAL_S = 10.0
 # Most records in memory at once during a read.
 READ_LIMIT = 64
 MAX_BATCH_ITEMS = 512
@@ -98,6 +109,13 @@
         self._recorded_finals: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
+        self._epoch = ids.FIRST_EPOCH
+        # Whether all claims of earlier epochs that may be live are known here.
+        self._is_complete = True
+        # What the log has lost and must have again; None if that is done.
+        self._rewrites: collections.deque[claims.Claim | claims.Final] | None
+        self._rewrites = None
+        self._now_ms = 0
         self._unconfirmed_batch: claims.ClaimBatch | None = None
         self._acknowledged_offset: ids.Offset | None = None
         self._step_running = False
@@ -164,8 +182,12 @@
     @property
     def has_work(self) -> bool:
         """Whether a claim or a final outcome waits for the log."""
-        queued = self._pending.queued_since_s is not None
-        return bool(queued or self._finals or self._unconfirmed_batch)
+        return bool(
+            self._pending.queued_since_s is not None
+            or self._finals
+            or self._unconfirmed_batch
+            or self._rewrites is not None
+        )
 
     # Steps.
 
@@ -182,6 +204,7 @@
             self._next_step_from_s, self._backoff_until_s
         ):
             return None
+        self._now_ms = now_ms
         step: ReadStep | AppendStep | None = None
         if self._must_read(now_s):
             step = (
@@ -194,6 +217,9 @@
             # read. If both appends take effect, the second changes no key.
             if now_s >= self._next_append_from_s:
                 step = self._append(self._unconfirmed_batch, now_s)
+        elif self._rewrites is not None:
+            if now_s >= self._next_append_from_s:
+                step = self._append(self._next_rewrite(self._rewrites), now_s)
         elif self._batch_due(now_s):
             step = self._make_batch(now_s, now_ms)
         if step is not None:
@@ -226,8 +252,14 @@
 
     def on_read(self, batch: ports.LogBatch, now_s: float) -> None:
         """Applies the records that were read."""
+        if batch.epoch < self._epoch:
+            self.on_read_failed(now_s)
+            return
         self._step_running = False
         self._failed_reads = 0
+        if batch.epoch > self._epoch:
+            self._enter_epoch(batch.epoch)
+            return
         if self._search is not None:
             self._search_start(batch, self._search)
             return
@@ -242,6 +274,19 @@
             self._on_end_reached(now_s)
         self._pending.remove_timed_out(now_s)
 
+    def _enter_epoch(self, epoch: ids.LogEpoch) -> None:
+        """Starts to read the stream of a log that was restored."""
+        self._is_complete = self._is_complete and self._loaded
+        self._epoch = epoch
+        self.key_table.enter_epoch()
+        self._search = stream_starts.StartOffsetSearch()
+        self._loaded = False
+        self._rewrites = None
+        self._must_read_again = True
+        # Its items are still queued; they get another offset.
+        self._unconfirmed_batch = None
+        self._acknowledged_offset = None
+
     def _search_start(
         self, batch: ports.LogBatch, search: stream_starts.StartOffsetSearch
     ) -> None:
@@ -252,9 +297,17 @@
 
     def _must_read(self, now_s: float) -> bool:
         if not self._loaded:
-            return self.has_work or self.idle_s(now_s) < ACTIVE_S
+            return (
+                self.has_work
+                or self.idle_s(now_s) < ACTIVE_S
+                or len(self.key_table) > 0
+            )
         if self._must_read_again:
             return True
+        if len(self.key_table) and (
+            now_s - self._last_read_s >= IDLE_REFRESH_INTERVAL_S
+        ):
+            return True
         return (
             self.idle_s(now_s) < ACTIVE_S
             and now_s - self._last_read_s >= REFRESH_INTERVAL_S
@@ -264,6 +317,7 @@
         self._last_read_s = now_s
         self._loaded = True
         self._must_read_again = False
+        self._update_completeness()
         if self._unconfirmed_batch is None or self._acknowledged_offset is None:
             return
         if self.key_table.next_offset <= self._acknowledged_offset:
@@ -274,6 +328,52 @@
         # The log has lost the acknowledged record; append it again.
         self._acknowledged_offset = None
 
+    def _update_completeness(self) -> None:
+        """Decides, at the end of the stream, what its epoch lacks."""
+        key_table = self.key_table
+        if key_table.recorded_epoch >= self._epoch:
+            self._is_complete = True
+            self._rewrites = None
+            key_table.lost_until_ms = 0
+        elif not self._is_complete and not key_table.lost_until_ms:
+            key_table.lost_until_ms = self._now_ms + claims.MAX_KEY_LIFETIME_MS
+        elif not self._is_complete:
+            self._is_complete = self._now_ms >= key_table.lost_until_ms
+        if (
+            self._is_complete
+            and key_table.recorded_epoch < self._epoch
+            and self._rewrites is None
+        ):
+            self._rewrites = collections.deque(key_table.lost_items())
+
+    def _next_rewrite(
+        self, rewrites: collections.deque[claims.Claim | claims.Final]
+    ) -> claims.ClaimBatch:
+        """Returns the next batch of what the log has lost."""
+        items: list[claims.Claim | claims.Final] = []
+        size = 0
+        while rewrites and len(items) < MAX_BATCH_ITEMS:
+            answer = getattr(rewrites[0], "answer", None) or b""
+            size += ITEM_OVERHEAD_BYTES + len(answer)
+            if items and size > MAX_BATCH_BYTES:
+                break
+            items.append(rewrites.popleft())
+        return self._new_batch(
+            items, self.key_table.recorded_epoch if rewrites else self._epoch
+        )
+
+    def _new_batch(
+        self, items: list[claims.Claim | claims.Final], epoch: ids.LogEpoch
+    ) -> claims.ClaimBatch:
+        return claims.ClaimBatch(
+            id=self._rng.randbytes(claims.TOKEN_BYTES),
+            writer=self._daemon,
+            read_offset=self.key_table.next_offset,
+            read_time_ms=self.key_table.time_ms,
+            items=items,
+            epoch=epoch,
+        )
+
     def _apply(self, record: ports.LogRecord, now_s: float) -> None:
         batch = self._decode(record.data)
         lost = self.key_table.apply(record.offset, record.time_ms, batch)
@@ -375,13 +475,7 @@
                 self._pending.unqueue(claim.token)
         if not items:
             return None
-        batch = claims.ClaimBatch(
-            id=self._rng.randbytes(claims.TOKEN_BYTES),
-            writer=self._daemon,
-            read_offset=self.key_table.next_offset,
-            read_time_ms=self.key_table.time_ms,
-            items=items,
-        )
+        batch = self._new_batch(items, self.key_table.recorded_epoch)
         return self._append(batch, now_s)
 
     def _append(self, batch: claims.ClaimBatch, now_s: float) -> AppendStep:
--- a/tests/core/test_partition_owners_stateful.py
+++ b/tests/core/test_partition_owners_stateful.py
@@ -167,6 +167,29 @@
     def land(self):
         self.log.append_late()
 
+    @stateful.rule()
+    def back_up(self):
+        self.log.back_up()
+
+    @stateful.rule()
+    def restore(self):
+        """Brings the log back from the copy.
+
+        Owners that know keys have read what was granted in the last seconds.
+        """
+        self.log.now_s += partition_owners.IDLE_REFRESH_INTERVAL_S
+        for owner_index in (0, 1):
+            self.run_owner(owner_index, "", 40)
+        self.log.restore()
+
+    @stateful.rule(key=KEYS, owner_index=OWNER_INDEXES, end=OUTCOMES)
+    def lose_request(self, key, owner_index, end):
+        """Loses the records of a request that was just run."""
+        self.back_up()
+        self.request(key, owner_index, "", 0, end)
+        self.restore()
+        self.run_owner(owner_index, "", 12)
+
     @stateful.rule(owner_index=OWNER_INDEXES)
     def restart(self, owner_index):
         self.owners[owner_index] = self.make_owner()
@@ -200,6 +223,14 @@
         super().on_read(batch, now_s)
 
 
+class WritesNothingAgain(partition_owners.PartitionOwner):
+    """Planted fault: what a restored log has lost is not written again."""
+
+    def _update_completeness(self):
+        self.key_table._unseen.clear()
+        super()._update_completeness()
+
+
 class _KeyTableReleasingAny(key_tables.KeyTable):
     def _apply_final(self, final):
         entry = self._get_live(final.key)
@@ -232,7 +263,8 @@
 
 
 @pytest.mark.parametrize(
-    "owner", [GrantsBeforeReading, SkipsReplay, ReleasesAnyClaim]
+    "owner",
+    [GrantsBeforeReading, SkipsReplay, ReleasesAnyClaim, WritesNothingAgain],
 )
 def test_planted_faults_are_found(owner):
     """Guards against a state machine that finds no fault."""
--- a/tests/fakes/operations.py
+++ b/tests/fakes/operations.py
@@ -30,6 +30,8 @@
         self.down = False
         self.late = []
         self.appends = 0
+        self.epoch = ids.FIRST_EPOCH
+        self._copy = (0, [])
 
     @property
     def now_ms(self):
@@ -77,8 +79,17 @@
             ids.Offset(self.first),
             ids.Offset(self.end),
             self.records[index : index + limit],
+            self.epoch,
         )
 
+    def back_up(self):
+        self._copy = (self.first, list(self.records))
+
+    def restore(self):
+        """Comes back from the copy; what was appended since is lost."""
+        self.first, self.records = self._copy[0], list(self._copy[1])
+        self.epoch = ids.LogEpoch(self.epoch + 1)
+
 
 def make_owner(name, factory=partition_owners.PartitionOwner):
     daemon = ids.DaemonId(name)
