Write contacts again that the log has lost

A new daemon of the product found nobody to join after the log had come back from an older copy: the writer of contacts took its record for present until the next checkpoint period.

--- a/packages/daemon/buckthorn_daemon/reading.py
+++ b/packages/daemon/buckthorn_daemon/reading.py
@@ -8,6 +8,7 @@
 from buckthorn_core import checkpoint_schedules
 from buckthorn_core import entries
 from buckthorn_core import errors
+from buckthorn_core import ids
 from buckthorn_core import ports
 from buckthorn_core import records
 from buckthorn_core import roles
@@ -40,6 +41,7 @@
         self._ahead_of_log = False
         self._contacts: records.Contacts | None = None
         self._contacts_s = state.NEVER_S
+        self._contacts_offset = ids.Offset(-1)
         self.log_region_contact_s = time.monotonic()
 
     def is_reader(self) -> bool:
@@ -254,12 +256,28 @@
             and last_contacts is not None
             and set(last_contacts.local_addresses)
             == set(contacts.local_addresses)
+            and self._has_contacts(last_contacts)
         ):
             return
-        self._log.append(records.CONTACTS_STREAM, records.encode(contacts))
+        self._contacts_offset = self._log.append(
+            records.CONTACTS_STREAM, records.encode(contacts)
+        )
         self._contacts = contacts
         self._contacts_s = time.monotonic()
 
+    def _has_contacts(self, contacts: records.Contacts) -> bool:
+        """Returns whether the log still has contacts where they were written.
+
+        A log that was restored from a copy may have lost them.
+
+        Raises:
+            errors.LogError: The log can't be read now.
+        """
+        batch = self._log.read(
+            records.CONTACTS_STREAM, self._contacts_offset, 1
+        )
+        return [r.data for r in batch.records] == [records.encode(contacts)]
+
     def _make_contacts(self) -> records.Contacts:
         shared = self._shared
         members = shared.membership.role_candidates()
--- a/tests/matrix/test_restored_log.py
+++ b/tests/matrix/test_restored_log.py
@@ -7,6 +7,8 @@
 from buckthorn_core import bundles as versions
 from buckthorn_core import ids
 from buckthorn_core import records
+from buckthorn_daemon import gossiping
+from buckthorn_daemon import reading
 
 CONFIG = records.CONFIG_STREAM
 
@@ -105,6 +107,21 @@
     assert mesh.run(10, lambda: mesh.all_at_version(2)), mesh.summary()
 
 
+def test_contacts_that_the_log_has_lost_are_written_again(make_mesh):
+    """Guards against new daemons that find nobody to join."""
+    mesh = make_mesh()
+    before = gossiping.read_contacts(mesh.log)
+    assert before
+    mesh.log.restore()
+    assert not gossiping.read_contacts(mesh.log)
+    mesh.run(1.2 * reading.CONTACTS_PERIOD_S)
+    found = gossiping.read_contacts(mesh.log)
+    assert {c.region for c in found} == {c.region for c in before}
+    count = len(found)
+    mesh.run(0.5 * reading.CONTACTS_PERIOD_S)
+    assert len(gossiping.read_contacts(mesh.log)) == count
+
+
 def test_records_without_an_epoch_stay_authentic():
     """Guards against logs of earlier versions whose records are refused."""
     old = bundles.publication("p1", versions.NO_VERSION)
