Refuse requests that a stopping daemon may not live to answer

In a planned stop, a request that came on an open connection late in the grace was passed on and cut at its end, without an answer. It happened here: a connection that was opened while the daemon still listened brings a booking after 5 of 6 s, while an upload keeps the process. The caller got a closed connection, and the booking ran at another instance.

--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -30,6 +30,9 @@
 # Added to the request deadline so that the timeout response of the daemon
 # beside the upstream, which expires first, still arrives; in seconds.
 HOP_SLACK_S = 0.2
+# Retry-After of requests that come too late before a stop; another daemon takes
+# them at once.
+STOPPING_RETRY_S = 0.1
 # Upper limit of Retry-After, as a fraction of the caller's remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
 # Retry-After when no better estimate is known, and its lower limit, in
@@ -159,6 +162,8 @@
         newest_peer_version: The newest configuration version that another
             daemon reported.
         newest_peer: The daemon that reported it last.
+        stops_at_s: When this daemon stops, in seconds on the event loop's
+            monotonic clock. A request that may take longer is refused.
     """
 
     def __init__(
@@ -198,6 +203,7 @@
         )
         self.newest_peer_version = 0
         self.newest_peer: ids.DaemonId | None = None
+        self.stops_at_s = math.inf
 
     def remove(self, daemon: ids.DaemonId) -> None:
         """Drops the state and the link of a daemon that was removed."""
@@ -279,6 +285,7 @@
         outcome = "caller_gone"
         try:
             self._suspicions.check(ctx.fingerprint)
+            self._check_time_to_stop(ctx)
             response = await self._serve(ctx)
             outcome = str(response.status)
             return response
@@ -289,6 +296,19 @@
         finally:
             self._record_outcome(ctx, outcome, loop.time())
 
+    def _check_time_to_stop(self, ctx: RequestContext) -> None:
+        """Refuses a request that this daemon may not live to answer.
+
+        Raises:
+            errors.RequestError: The daemon stops before the request's deadline.
+        """
+        if ctx.deadline_s + HOP_SLACK_S > self.stops_at_s:
+            raise errors.RequestError(
+                errors.Code.DRAINING,
+                "this daemon stops before the request's deadline",
+                STOPPING_RETRY_S,
+            )
+
     def _record_outcome(
         self, ctx: RequestContext, outcome: str, now_s: float
     ) -> None:
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -257,6 +257,8 @@
         if self.ingress.lifetimes.state is lifetimes.UpstreamState.GONE:
             await self._withdraw()
         await asyncio.sleep(READINESS_PROPAGATION_S)
+        # Connections that are open may still bring requests.
+        self._egress.stops_at_s = end_s
         self.ingress.stop_admitting()
         self.callers.stop_listening()
         # Requests that other daemons sent before they learned of the drain
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -82,3 +82,47 @@
     assert set(statuses.values()) == {200, 503}
     for name, status in statuses.items():
         assert orders.run_count(name) == (status == 200)
+
+
+def test_a_request_late_in_the_grace_is_not_taken(host, new_host, new_instance):
+    """Guards against a booking that is passed on and then cut.
+
+    An upload that is still arriving keeps the daemon until the end of its grace
+    of 6 s. On another open connection a request comes half a second before.
+    """
+    other = new_instance(instance="i-2")
+    second = new_host("h-2", other)
+    standins.wait_for(lambda: second.readiness() == 200)
+    assert second and other.heartbeat(second.ports["control"]) == 200
+    standins.wait_for(lambda: "buckthorn_members 2" in host.metrics())
+    other.unblocked.clear()
+    upload, late = host.connect(), None
+    upload.sendall(request("upload", "Content-Length: 9", "abc"))
+    time.sleep(0.2)
+    started_s = time.monotonic()
+    host.signal(signal.SIGTERM)
+    time.sleep(1.5)
+    late = host.connect()
+    time.sleep(started_s + 5.0 - time.monotonic())
+    late.sendall(request("late", "Content-Length: 1", "x"))
+    late.settimeout(standins.WAIT_S)
+    answer = late.recv(65536)
+    other.unblocked.set()
+    upload.close()
+    late.close()
+    assert answer.startswith(b"HTTP/1.1 503"), answer
+    assert b"Retry-After" in answer
+    assert not other.run_count("late")
+
+
+def request(name, *lines):
+    """Returns a booking; the last line is the part of its body to send."""
+    *headers, body = lines
+    head = [
+        "POST /book/1 HTTP/1.1",
+        "Host: shop.example",
+        f"{standins.PREFIX}Request-Id: {name}",
+        f"{standins.PREFIX}Deadline-Ms: 2000",
+        *headers,
+    ]
+    return ("\r\n".join(head) + "\r\n\r\n" + body).encode()
