Bring the store back from older copies in the soak

A fault of the soak restores the stand-in of the store from a copy of up to three faults ago; the operator writes the last version, or all that are lost, again.

--- a/tests/soak/meshes.py
+++ b/tests/soak/meshes.py
@@ -1,5 +1,6 @@
 """A small mesh of real daemons with callers, faults and checks."""
 
+import collections
 import http.client
 import itertools
 import json
@@ -87,6 +88,9 @@
         self.hosts = []
         self.proxies = {}
         self.number = itertools.count(2)
+        self.published = []
+        # Copies of the store, the newest last.
+        self.copies = collections.deque(maxlen=3)
         self.replies = {}
         self.drained = []
         self.limits = []
@@ -128,6 +132,7 @@
         if extra:
             paths.append(EXTRA)
         record = standins.configuration(next(self.number), *paths)
+        self.published.append(record)
         self.store.put("keyed.op", "config", record)
 
     def close(self):
@@ -150,6 +155,7 @@
             thread.start()
         self._await_service()
         for inject in self._plan():
+            self.copies.append(self.store.copy())
             inject(self)
             time.sleep(self.rng.uniform(0.1, 0.8))
         self._heal()
@@ -383,6 +389,23 @@
     mesh.store.down = False
 
 
+@fault
+def restore_store(mesh):
+    """Brings the store back from an older copy.
+
+    The operator writes the last version again, or all that are lost.
+    """
+    copy = mesh.copies[0]
+    mesh.store.down = True
+    time.sleep(mesh.rng.uniform(0.2, 1.0))
+    mesh.store.restore(copy)
+    lost = len(mesh.published) - len(copy["keyed.op"])
+    lost = max(1, min(lost, mesh.rng.choice((1, lost))))
+    for record in mesh.published[-lost:]:
+        mesh.store.put("keyed.op", "config", record)
+    mesh.store.down = False
+
+
 @fault
 def change_configuration(mesh):
     mesh.publish(extra=mesh.rng.random() < 0.5)
