Grant new operation keys in an epoch that is older than any key

After a restoration, an owner of a partition that had been idle for longer than the log keeps records found no batch of the epoch, and would have refused new keys for over ten minutes each time it started. It now looks in the configuration stream for a checkpoint of the epoch that is older than a key lives.

--- a/packages/core/buckthorn_core/checkpoint_search.py
+++ b/packages/core/buckthorn_core/checkpoint_search.py
@@ -53,6 +53,34 @@
     return None
 
 
+def has_older(
+    log: ports.LogService, key: bytes, epoch: ids.LogEpoch, before_ms: int
+) -> bool:
+    """Returns whether a checkpoint of an epoch was written before a time.
+
+    Args:
+        log: The log.
+        key: The key that signs checkpoints.
+        epoch: The epoch of the log.
+        before_ms: The time, in ms since the epoch of the clock.
+
+    Raises:
+        errors.LogError: The log can't be read at present.
+    """
+    start = ids.Offset(0)
+    while True:
+        batch = log.read(records.CONFIG_STREAM, start, MAX_WINDOW)
+        for log_record in batch.records:
+            if log_record.time_ms >= before_ms:
+                return False
+            checkpoint = _decode(log_record, key)
+            if checkpoint is not None and checkpoint.epoch >= epoch:
+                return True
+        if not batch.records:
+            return False
+        start = ids.Offset(batch.records[-1].offset + 1)
+
+
 def _read(
     log: ports.LogService, start: ids.Offset, end: ids.Offset
 ) -> list[ports.LogRecord]:
--- a/packages/core/buckthorn_core/partition_owners.py
+++ b/packages/core/buckthorn_core/partition_owners.py
@@ -115,6 +115,7 @@
         # What the log has lost and must have again; None if that is done.
         self._rewrites: collections.deque[claims.Claim | claims.Final] | None
         self._rewrites = None
+        self._epoch_age_known = True
         self._now_ms = 0
         self._unconfirmed_batch: claims.ClaimBatch | None = None
         self._acknowledged_offset: ids.Offset | None = None
@@ -282,6 +283,7 @@
         self._search = stream_starts.StartOffsetSearch()
         self._loaded = False
         self._rewrites = None
+        self._epoch_age_known = False
         self._must_read_again = True
         # Its items are still queued; they get another offset.
         self._unconfirmed_batch = None
@@ -328,6 +330,21 @@
         # The log has lost the acknowledged record; append it again.
         self._acknowledged_offset = None
 
+    @property
+    def unknown_epoch(self) -> ids.LogEpoch | None:
+        """An epoch whose age decides whether new keys can be granted."""
+        if self._is_complete or self._epoch_age_known or not self._loaded:
+            return None
+        return self._epoch
+
+    def on_epoch_age(self, outlasts_keys: bool) -> None:
+        """Handles whether an epoch began longer ago than a key lives."""
+        self._epoch_age_known = True
+        if outlasts_keys:
+            self._is_complete = True
+            self.key_table.lost_until_ms = 0
+            self._must_read_again = True
+
     def _update_completeness(self) -> None:
         """Decides, at the end of the stream, what its epoch lacks."""
         key_table = self.key_table
--- a/packages/core/buckthorn_core/topic_tables.py
+++ b/packages/core/buckthorn_core/topic_tables.py
@@ -92,7 +92,8 @@
 
     Attributes:
         removed_keys: Keys that have no value any more.
-        records: The snapshot's records that are in force.
+        records: The snapshot's records that are in force; after a transition
+            only those that the table didn't have.
         transition: Set if the table has moved to another epoch.
     """
 
@@ -245,12 +246,10 @@
             del self._by_key[key]
             self._unrecorded.pop(key, None)
         self.put(found.values(), end)
-        return Replacement(deleted, self._in_force(found), None)
-
-    def _in_force(self, found: Mapping[str, Record]) -> list[Record]:
         for record in found.values():
             self._settle(record)
-        return [r for r in found.values() if r.key not in self._unrecorded]
+        in_force = [r for r in found.values() if r.key not in self._unrecorded]
+        return Replacement(deleted, in_force, None)
 
     def _move(
         self,
@@ -304,7 +303,9 @@
             self._deleted_revisions.pop(key, None)
         self.put(deletions, end)
         return Replacement(
-            known_keys - self._valued_keys(), self._in_force(found), transition
+            known_keys - self._valued_keys(),
+            [r for r in transition.records if r.key not in self._unrecorded],
+            transition,
         )
 
     def _valued_keys(self) -> set[str]:
--- a/packages/daemon/buckthorn_daemon/owning.py
+++ b/packages/daemon/buckthorn_daemon/owning.py
@@ -10,6 +10,7 @@
 
 import loguru
 
+from buckthorn_core import checkpoint_search
 from buckthorn_core import claims
 from buckthorn_core import entries
 from buckthorn_core import errors
@@ -292,3 +293,22 @@
             return
         with self._lock:
             owner.on_read(batch, time.monotonic())
+            unknown_epoch = owner.unknown_epoch
+        if unknown_epoch is not None:
+            self._find_epoch_age(owner, unknown_epoch)
+
+    def _find_epoch_age(
+        self, owner: partition_owners.PartitionOwner, epoch: ids.LogEpoch
+    ) -> None:
+        """Looks for a checkpoint of the epoch that is older than any key."""
+        before_ms = time.time_ns() // 1_000_000 - claims.MAX_KEY_LIFETIME_MS
+        key = self._shared.cfg.peer_key.encode()
+        try:
+            is_old = checkpoint_search.has_older(
+                self._log, key, epoch, before_ms
+            )
+        except errors.LogError:
+            # The next read to the stream's end asks again.
+            return
+        with self._lock:
+            owner.on_epoch_age(is_old)
--- a/tests/core/test_partition_owners_restored.py
+++ b/tests/core/test_partition_owners_restored.py
@@ -67,6 +67,26 @@
     assert fakes.request_claim(fresh, log, later).verdict is GRANTED
 
 
+def test_an_owner_of_an_old_epoch_grants_new_keys():
+    """Guards against a partition that is refused each time it was idle."""
+    log, _ = claim_and_restore()
+    fresh = fakes.make_owner("b")
+    claim = fakes.make_claim("new", "t2")
+    fresh.claim(claim, log.now_s, log.now_ms)
+    while fresh.unknown_epoch is None:
+        assert fakes.step(fresh, log)
+    assert fresh.unknown_epoch == 1
+    fresh.on_epoch_age(outlasts_keys=True)
+    assert fresh.unknown_epoch is None
+    assert fakes.request_claim(fresh, log, claim).verdict is GRANTED
+    log.restore()
+    newer = fakes.make_owner("c")
+    fakes.request_claim(newer, log, fakes.make_claim("k", "t3"))
+    assert newer.unknown_epoch == 2
+    newer.on_epoch_age(outlasts_keys=False)
+    assert newer.unknown_epoch is None
+
+
 def test_many_lost_claims_are_written_in_spaced_batches(monkeypatch):
     """Guards against a burst of appends of all partitions."""
     monkeypatch.setattr(fakes.partition_owners, "MAX_BATCH_ITEMS", 4)
--- a/tests/matrix/test_restored_log.py
+++ b/tests/matrix/test_restored_log.py
@@ -5,6 +5,7 @@
 
 from buckthorn_core import acceptance
 from buckthorn_core import bundles as versions
+from buckthorn_core import checkpoint_search
 from buckthorn_core import ids
 from buckthorn_core import records
 from buckthorn_daemon import gossiping
@@ -122,6 +123,22 @@
     assert len(gossiping.read_contacts(mesh.log)) == count
 
 
+def test_the_age_of_an_epoch_is_found(make_mesh):
+    """Guards against keys that are refused long after a restoration."""
+    mesh = make_mesh()
+    lose_version_2(mesh)
+    restored_ms = mesh.clock.time_ns() // 1_000_000
+
+    def is_older(epoch, before_ms):
+        return checkpoint_search.has_older(
+            mesh.log, bundles.KEY, epoch, before_ms
+        )
+
+    assert mesh.run(5, lambda: is_older(1, restored_ms + 5_000))
+    assert not is_older(1, restored_ms)
+    assert not is_older(2, restored_ms + 5_000)
+
+
 def test_records_without_an_epoch_stay_authentic():
     """Guards against logs of earlier versions whose records are refused."""
     old = bundles.publication("p1", versions.NO_VERSION)
