Feed daemons of an earlier release, and be fed by them

While a release was rolled out, records of a daemon that states no epoch would have been ignored by one that has read the store, while its confirmations were taken: versions would have been missed until another daemon reported them. They are now taken for records of the receiver's epoch, and a subscription without epochs for one of the sender's. Found while the change was read; test_daemons_of_an_earlier_release_feed_and_are_fed covers both directions.

--- a/packages/sidecar/buckthorn_sidecar/feeds.py
+++ b/packages/sidecar/buckthorn_sidecar/feeds.py
@@ -347,7 +347,8 @@
         if follower is None:
             _logger.warning("bad_frame", error=f"topic {frame.topic}")
             return
-        epoch = ids.LogEpoch(frame.epoch)
+        # Daemons of an earlier release state no epoch.
+        epoch = ids.LogEpoch(frame.epoch or follower.table.epoch)
         try:
             records = [self._decode(follower, r, epoch) for r in frame.records]
         except errors.PeerError as exc:
@@ -520,7 +521,7 @@
         end, offset = table.next_offset, frame.positions.get(topic)
         if end is None:
             return None
-        epoch = frame.epochs.get(topic, ids.FIRST_EPOCH)
+        epoch = frame.epochs.get(topic, table.epoch)
         transition = self._transitions.get(topic)
         if offset is not None and epoch == table.epoch:
             records = table.records_since(ids.Offset(offset))
--- a/tests/sidecar/test_feeds.py
+++ b/tests/sidecar/test_feeds.py
@@ -181,7 +181,7 @@
         follower.apply([version(1, 0), version(2, 1)], None, ids.Offset(2))
         child = FakeConnection()
         feed.server.on_subscribe(
-            child, frames.Subscribe({TOPIC: 2, "members": 0}, {})
+            child, frames.Subscribe({TOPIC: 2, "members": 0}, {TOPIC: 0})
         )
         child.take(frames.Records)
         codec = compressors.ZstdDeltaCodec()
@@ -211,12 +211,16 @@
         follower.apply([version(1, 0)], None, ids.Offset(1), ids.LogEpoch(3))
         follower.apply([version(5, 1)], ids.Offset(1), 2, ids.LogEpoch(3))
         child = FakeConnection()
-        feed.server.on_subscribe(child, frames.Subscribe({TOPIC: 2}, {}))
+        feed.server.on_subscribe(
+            child, frames.Subscribe({TOPIC: 2}, {TOPIC: 0})
+        )
         frame = child.take(frames.Records)[0]
         assert frame.move == frames.Move(0, 2, ["config"])
         assert [r.offset for r in frame.records] == [1]
         assert frame.end == 2
-        feed.server.on_subscribe(child, frames.Subscribe({TOPIC: 1}, {}))
+        feed.server.on_subscribe(
+            child, frames.Subscribe({TOPIC: 1}, {TOPIC: 0})
+        )
         frame = child.take(frames.Records)[0]
         assert (frame.start, frame.move) == (None, None)
 
@@ -229,8 +233,12 @@
     async def scenario(link_pool, feed, follower):
         del feed
         follower.apply([version(1, 0)], None, ids.Offset(1), ids.LogEpoch(3))
-        codec = compressors.ZstdDeltaCodec()
-        link_pool.on_feed_frame(PARENT, records_frame(codec, 1, b"9"))
+        record = frames.FeedRecord(
+            "config", 1, compressors.ZstdDeltaCodec().encode(b"9", None), None
+        )
+        link_pool.on_feed_frame(
+            PARENT, frames.Records(TOPIC, 1, 2, [record], 2)
+        )
         await asyncio.sleep(0)
         assert follower.table.place == (3, 1)
         assert link_pool.subscriptions == []
@@ -238,6 +246,23 @@
     run_with_feed(scenario)
 
 
+def test_daemons_of_an_earlier_release_feed_and_are_fed():
+    """Guards against missed versions while a release is rolled out."""
+
+    async def scenario(link_pool, feed, follower):
+        follower.apply([version(1, 0)], None, ids.Offset(1), ids.LogEpoch(3))
+        codec = compressors.ZstdDeltaCodec()
+        link_pool.on_feed_frame(PARENT, records_frame(codec, 1, b"2"))
+        assert follower.table.get("config").value == b"2"
+        assert follower.table.place == (3, 2)
+        child = FakeConnection()
+        feed.server.on_subscribe(child, frames.Subscribe({TOPIC: 1}))
+        (frame,) = child.take(frames.Records)[:1]
+        assert (frame.start, [r.offset for r in frame.records]) == (1, [1])
+
+    run_with_feed(scenario)
+
+
 def test_a_base_of_another_history_is_not_used():
     """Guards against a difference that is decoded against other content.
 
