--- a/tests/matrix/test_restored_log.py
+++ b/tests/matrix/test_restored_log.py
@@ -1,5 +1,6 @@
 """Versions when the log comes back from a copy that is some seconds old."""
 
+import msgspec
 import pytest
 from tests.fakes import bundles
 
@@ -8,6 +9,7 @@
 from buckthorn_core import checkpoint_search
 from buckthorn_core import ids
 from buckthorn_core import records
+from buckthorn_core import signing
 from buckthorn_daemon import gossiping
 from buckthorn_daemon import reading
 
@@ -142,14 +144,12 @@
 def test_records_without_an_epoch_stay_authentic():
     """Guards against logs of earlier versions whose records are refused."""
     old = bundles.publication("p1", versions.NO_VERSION)
-    fields = ["publication", *records.msgspec.structs.astuple(old)[:-1]]
-    decoded = records.decode(records.msgspec.msgpack.encode(fields))
+    fields = ["publication", *msgspec.structs.astuple(old)[:-1]]
+    decoded = records.decode(msgspec.msgpack.encode(fields))
     assert decoded.epoch == 0
     assert records.has_valid_mac(decoded, bundles.KEY)
     unsigned = [*fields[:-1], b""]
-    mac = records.signing.sign(
-        bundles.KEY, records.msgspec.msgpack.encode(unsigned)
-    )
+    mac = signing.sign(bundles.KEY, msgspec.msgpack.encode(unsigned))
     assert mac == old.mac
 
 
@@ -157,7 +157,7 @@
     """Guards against an epoch that isn't covered by the signature."""
     record = bundles.publication("p1", versions.NO_VERSION, epoch=2)
     assert records.has_valid_mac(record, bundles.KEY)
-    forged = records.msgspec.structs.replace(record, epoch=ids.LogEpoch(3))
+    forged = msgspec.structs.replace(record, epoch=ids.LogEpoch(3))
     assert not records.has_valid_mac(forged, bundles.KEY)
 
 
