Check the keys of workspaces, and take downloads and unknown kinds

Cause: the configuration's workspaces were not read, so a caller's key reached upstreams and withdrawn keys went on working; one unknown kind of a route made the whole configuration invalid and left a fleet without any.

Change: the first daemon finds the workspace by a keyed digest of the key, answers 401 to keys that are not in force, removes the header and passes name and priority on. Downloads are idempotent.

--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -12,6 +12,7 @@
     """Error codes, visible to callers and operators."""
 
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
     NO_UPSTREAM = "no_upstream"
     NOT_READY = "not_ready"
     SLOTS_FULL = "slots_full"
@@ -38,6 +39,7 @@
     KEYS_FULL = "keys_full"
     LOG_UNAVAILABLE = "log_unavailable"
     LOG_GAP = "log_gap"
+    LOG_MOVED_ON = "log_moved_on"
     PEER_UNAVAILABLE = "peer_unavailable"
     BAD_MESSAGE = "bad_message"
     BAD_SETTINGS = "bad_settings"
@@ -61,6 +63,7 @@
 
 CODE_INFO: dict[Code, CodeInfo] = {
     Code.NO_ROUTE: CodeInfo(404, True),
+    Code.UNAUTHORIZED: CodeInfo(401, True),
     Code.NO_UPSTREAM: CodeInfo(503, True),
     Code.NOT_READY: CodeInfo(503, True),
     Code.SLOTS_FULL: CodeInfo(503, True),
--- a/packages/core/buckthorn_core/foreign_values.py
+++ b/packages/core/buckthorn_core/foreign_values.py
@@ -23,6 +23,7 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 LinkRate = Annotated[float, msgspec.Meta(ge=0, le=MAX_LINK_MBPS)]
 
 T_co = TypeVar("T_co", covariant=True)
--- a/packages/core/buckthorn_core/ids.py
+++ b/packages/core/buckthorn_core/ids.py
@@ -4,6 +4,7 @@
 
 DaemonId = NewType("DaemonId", str)
 ServiceName = NewType("ServiceName", str)
+WorkspaceName = NewType("WorkspaceName", str)
 ResourceName = NewType("ResourceName", str)
 RouteName = NewType("RouteName", str)
 SiteName = NewType("SiteName", str)
--- a/packages/core/buckthorn_core/lifetimes.py
+++ b/packages/core/buckthorn_core/lifetimes.py
@@ -52,6 +52,7 @@
         slots: Number of requests that it runs concurrently.
         state: READY or DRAINING.
         warmup_left_s: Remaining warm-up time, in seconds.
+        software_version: Version of its software; empty if not known.
     """
 
     instance: ids.InstanceId
@@ -62,6 +63,7 @@
     slots: int
     state: UpstreamState
     warmup_left_s: float
+    software_version: str = ""
 
 
 class ClosedLifetime(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -89,6 +89,8 @@
             further request, in milliseconds.
         notice: What the upstream has stated about itself; None if it takes
             requests without a limit, or nothing is known.
+        software_version: Version of the upstream's software; empty if not
+            known.
     """
 
     slots: int
@@ -97,6 +99,7 @@
     run_s: float
     start_delay_ms: int = 0
     notice: stated_limits.UpstreamNotice | None = None
+    software_version: str = ""
 
 
 class UpstreamStatus:
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -57,12 +57,25 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
+class Priority(NamedTuple):
+    """Priority of a request; lower values are more urgent.
+
+    Attributes:
+        workspace: Priority of the caller's workspace; without one, that of the
+            route.
+        route: Priority of the route.
+    """
+
+    workspace: int
+    route: int
+
+
 class SlotRequest(NamedTuple):
     """A request for a slot; times are monotonic, in seconds.
 
     Attributes:
         route: Route of the request.
-        priority: Priority; 0 is the most urgent.
+        priority: Priority of the request.
         caller_until_s: When the caller stops waiting.
         target_at_s: When an answer loses its full value.
         finish_by_s: When an answer becomes useless.
@@ -70,7 +83,7 @@
     """
 
     route: ids.RouteName
-    priority: int
+    priority: Priority
     caller_until_s: float
     target_at_s: float
     finish_by_s: float
@@ -93,7 +106,7 @@
     start_by_s: float
 
     @property
-    def sort_key(self) -> tuple[bool, int, float, int]:
+    def sort_key(self) -> tuple[bool, Priority, float, int]:
         """Sort key of the queue, in ascending order."""
         request = self.request
         return (
@@ -142,7 +155,7 @@
         self._last_number = 0
         self._run_s: dict[ids.RouteName, _Average] = {}
         self._mean = _Average(INITIAL_RUN_S)
-        self._rates: dict[int, event_rates.EventRate] = {}
+        self._rates: dict[Priority, event_rates.EventRate] = {}
 
     def reset(self, slots: int, warming: bool) -> None:
         """Discards the run times and the limit of the previous lifetime."""
--- a/packages/core/buckthorn_core/virtual_hosts.py
+++ b/packages/core/buckthorn_core/virtual_hosts.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 import enum
 from typing import NamedTuple
 
 import msgspec
 
+from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import workspace_keys
 
 
 class RouteKind(enum.Enum):
@@ -15,6 +18,8 @@
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
+    # Idempotent, with long responses.
+    DOWNLOAD = "download"
 
 
 class WeightedService(NamedTuple):
@@ -38,6 +43,7 @@
             in seconds.
         priority: Priority; 0 is the highest.
         attempts: Largest number of upstreams that one request is sent to.
+        public: Whether callers need no key of a workspace.
     """
 
     name: ids.RouteName
@@ -49,11 +55,12 @@
     target_s: float
     priority: int
     attempts: int
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind is not RouteKind.NON_IDEMPOTENT
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -81,12 +88,16 @@
         routes: The routes of all host names.
         health_paths: Path of the upstreams' health checks by service.
         limits: Limits of callers' requests.
+        workspaces: Workspaces of callers; without any, requests need no key.
+        findings: What the configuration holds and this daemon can't follow.
     """
 
     number: ids.VersionNumber
     routes: tuple[HostRoute, ...]
     health_paths: dict[ids.ServiceName, str]
     limits: CallerLimits
+    workspaces: tuple[workspace_keys.Workspace, ...] = ()
+    findings: tuple[str, ...] = ()
 
 
 def find_problems(
@@ -178,9 +189,16 @@
 class VersionHolder:
     """Holds the version in force; version numbers only increase."""
 
-    def __init__(self) -> None:
+    def __init__(self, secret: bytes = b""):
+        """Creates the holder.
+
+        Args:
+            secret: Random secret of this process, for the index of keys.
+        """
         self.current: Version | None = None
         self._index = HostRouteIndex(())
+        self._secret = secret
+        self._keys = workspace_keys.KeyIndex((), secret)
 
     @property
     def number(self) -> ids.VersionNumber:
@@ -196,9 +214,53 @@
         if version.number <= self.number:
             return False
         self._index = HostRouteIndex(version.routes)
+        if self.current is None or self.current.workspaces != (
+            version.workspaces
+        ):
+            self._keys = workspace_keys.KeyIndex(
+                version.workspaces, self._secret
+            )
         self.current = version
         return True
 
     def match(self, host: str, path: str) -> HostRoute | None:
         """Returns a request's route in the version in force, or None."""
         return self._index.match(host, path)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the version in force has workspaces."""
+        return self.current is not None and bool(self.current.workspaces)
+
+    def find_workspace(
+        self, route: HostRoute, authorization: Sequence[str]
+    ) -> workspace_keys.Workspace | None:
+        """Returns the workspace of a request.
+
+        Args:
+            route: The route of the request.
+            authorization: Values of its Authorization headers.
+
+        Returns:
+            The workspace; None for a request without a key, which is a call of
+            an upstream, and for one on a public route whose key is not known.
+
+        Raises:
+            errors.RequestError: The key is malformed or not in force.
+        """
+        if not self.has_workspaces:
+            return None
+        try:
+            key = workspace_keys.read_bearer_key(authorization)
+            if key is None:
+                return None
+            workspace = self._keys.find(key)
+            if workspace is None:
+                raise errors.RequestError(
+                    errors.Code.UNAUTHORIZED, "the key is not known"
+                )
+            return workspace
+        except errors.RequestError:
+            if route.public:
+                return None
+            raise
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -20,6 +20,7 @@
 from buckthorn_core import load_balancing
 from buckthorn_core import retry_quotas
 from buckthorn_core import virtual_hosts
+from buckthorn_core import workspace_keys
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
 from buckthorn_sidecar import interfaces
@@ -90,6 +91,7 @@
         metadata: What the caller's headers state.
         route: The matched route, of the version at the start of the request.
         service: The service that runs the request.
+        workspace: The caller's workspace; None if it has none.
         fingerprint: Digest by which the request is known when it comes again.
         started_s: When the request was received, in seconds.
         deadline_s: When the final response is due, in seconds.
@@ -119,11 +121,13 @@
         service: ids.ServiceName,
         now_s: float,
         age_s: float,
+        workspace: workspace_keys.Workspace | None = None,
     ):
         self.req = req
         self.metadata = metadata
         self.route = route
         self.service = service
+        self.workspace = workspace
         self.fingerprint = suspicions.fingerprint(service, metadata.host, req)
         self.started_s = now_s
         left_s = route.timeout_s
@@ -274,12 +278,15 @@
             raise errors.RequestError(
                 errors.Code.NO_ROUTE, f"{metadata.host}{req.target}"
             )
+        workspace = self._find_workspace(metadata, route)
         service = self._service_selector.next_service(route)
         now_s = loop.time()
         age_s = 0.0
         if metadata.left_s is not None:
             age_s = self._caller_ages.age_s(route.name, metadata.left_s, now_s)
-        ctx = RequestContext(req, metadata, route, service, now_s, age_s)
+        ctx = RequestContext(
+            req, metadata, route, service, now_s, age_s, workspace
+        )
         ctx.version = self._holder.number
         self._retry_quotas.add_request(service, loop.time())
         outcome = "caller_gone"
@@ -296,6 +303,30 @@
         finally:
             self._record_outcome(ctx, outcome, loop.time())
 
+    def _find_workspace(
+        self,
+        metadata: interfaces.RequestMetadata,
+        route: virtual_hosts.HostRoute,
+    ) -> workspace_keys.Workspace | None:
+        """Returns the caller's workspace; None if it has none.
+
+        Raises:
+            errors.RequestError: The caller's key is not in force.
+        """
+        try:
+            return self._holder.find_workspace(route, metadata.authorization)
+        except errors.RequestError:
+            self._meter.count(
+                "buckthorn_request_errors", service="none", code="unauthorized"
+            )
+            _logger.info(
+                "key_refused",
+                request=metadata.request_id,
+                route=route.name,
+                version=self._holder.number,
+            )
+            raise
+
     def _check_time_to_stop(self, ctx: RequestContext) -> None:
         """Refuses a request that this daemon may not live to answer.
 
@@ -525,10 +556,12 @@
             route.target_s,
             req.method,
             req.target,
-            http1.end_to_end(req.headers),
+            self._forwarded_headers(req),
             req.body,
             self._load_balancer.status_of(to).notice,
             self._suspicions.get(ctx.fingerprint),
+            self._workspace_name(ctx),
+            None if ctx.workspace is None else ctx.workspace.priority,
         )
         if to.daemon == self._cfg.daemon:
             return await self._send_local(frame)
@@ -557,6 +590,18 @@
             )
             return await self._query_outcome(ctx, link, frame.attempt)
 
+    def _forwarded_headers(self, req: http1.Request) -> http1.Headers:
+        """Returns the end-to-end headers, without the key of a workspace."""
+        headers = http1.end_to_end(req.headers)
+        if not self._holder.has_workspaces:
+            return headers
+        return [(k, v) for k, v in headers if k.lower() != "authorization"]
+
+    def _workspace_name(self, ctx: RequestContext) -> ids.WorkspaceName | None:
+        if ctx.workspace is not None:
+            return ctx.workspace.name
+        return ids.WorkspaceName("") if self._holder.has_workspaces else None
+
     def _may_reroute(self, ctx: RequestContext) -> bool:
         """Returns whether to retry a request whose link is unresponsive.
 
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -45,6 +45,9 @@
             if there is nothing to keep to.
         suspicion: Names the request, with the upstream crashes during which it
             was in flight; None from a sender that doesn't know of suspicions.
+        workspace: Workspace of the caller, empty if it has none; None if the
+            sender's configuration has no workspaces.
+        workspace_priority: Priority of the workspace; None without one.
     """
 
     attempt: str
@@ -64,6 +67,8 @@
     body: bytes
     notice: stated_limits.UpstreamNotice | None = None
     suspicion: entries.CrashSuspicion | None = None
+    workspace: ids.WorkspaceName | None = None
+    workspace_priority: int | None = None
 
 
 class Cancel(msgspec.Struct, tag="c", array_like=True, frozen=True):
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -144,6 +144,7 @@
         """Returns the upstream's load; without slots if admission is closed."""
         now_s = asyncio.get_running_loop().time()
         queue = self.queue
+        current = self.lifetimes.current
         return load_balancing.LoadReport(
             0 if self._is_closed() else queue.slots,
             queue.running,
@@ -151,6 +152,7 @@
             round(queue.mean_run_s, 3),
             round(1000 * queue.limit.delay_s(now_s, queue.waiting)),
             self._notice(),
+            "" if current is None else current.software_version,
         )
 
     def _notice(self) -> stated_limits.UpstreamNotice | None:
@@ -615,7 +617,7 @@
             target_at_s = deadline_s
         slot_request = slot_queues.SlotRequest(
             req.route,
-            req.priority,
+            _priority_of(req),
             received_s + req.caller_left_s,
             target_at_s,
             deadline_s,
@@ -731,7 +733,7 @@
             conn.close()
             raise
         headers = self._mesh_headers.upstream_headers(
-            req.headers, left_s, req.caller_service, instance
+            req.headers, left_s, req.caller_service, instance, req.workspace
         )
         return conn, http1.encode_request(
             req.method, req.path, headers, req.body
@@ -806,3 +808,10 @@
             self.version,
             suspicion if suspicion and suspicion.incarnation else None,
         )
+
+
+def _priority_of(req: frames.Request) -> slot_queues.Priority:
+    workspace_priority = req.workspace_priority
+    if workspace_priority is None:
+        workspace_priority = req.priority
+    return slot_queues.Priority(workspace_priority, req.priority)
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -17,11 +17,13 @@
         request_id: Id of this attempt of the caller.
         host: The requested host name.
         left_s: How long the caller waits, in seconds; None if not stated.
+        authorization: Values of the Authorization headers.
     """
 
     request_id: ids.RequestId
     host: str
     left_s: float | None
+    authorization: tuple[str, ...] = ()
 
 
 class ResponseMetadata(NamedTuple):
@@ -65,6 +67,7 @@
         left_s: float,
         caller_service: ids.ServiceName,
         instance: ids.InstanceId,
+        workspace: ids.WorkspaceName | None = None,
     ) -> http1.Headers:
         """Returns the headers of a request for an upstream.
 
@@ -73,6 +76,8 @@
             left_s: Time left until the deadline, in seconds.
             caller_service: The service beside the daemon of the caller.
             instance: The instance that the request must reach.
+            workspace: The caller's workspace, empty if it has none; None if
+                the configuration has no workspaces.
         """
 
     def read_response(self, response: http1.Response) -> ResponseMetadata:
@@ -159,7 +164,11 @@
         """
 
     async def append(
-        self, topic: str, key: str, value: bytes
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        at: ids.Offset | None = None,
     ) -> topic_tables.Place:
         """Appends a record and returns its place.
 
@@ -167,10 +176,13 @@
             topic: The topic.
             key: Key of the record.
             value: The value; an empty one deletes the key.
+            at: Appends only if the topic ends at this offset; None for no
+                condition.
 
         Raises:
             errors.LogError: The log didn't respond; the record may have been
-                appended.
+                appended. With LOG_MOVED_ON it was not, since the condition
+                does not hold.
         """
 
 
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import os
 from typing import NamedTuple
 
 import loguru
@@ -49,6 +50,8 @@
 HEALTH_CHECK_INTERVAL_S = 0.25
 # How long an acknowledgement waits for a health check, in seconds.
 HEALTH_CHECK_WAIT_S = 0.4
+# Size of the secret with which keys of workspaces are hashed.
+SECRET_BYTES = 32
 
 _logger = loguru.logger.bind(module=__name__)
 
@@ -90,7 +93,7 @@
         self.meter = metrics.Metrics(
             traffic_counters.ThreadSafeControlTraffic()
         )
-        self.holder = virtual_hosts.VersionHolder()
+        self.holder = virtual_hosts.VersionHolder(os.urandom(SECRET_BYTES))
         self.directory = directories.Directory()
         body_budget = byte_budgets.from_host_memory(cfg.memory_mb)
         self.ingress = ingress.Ingress(
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -419,7 +419,13 @@
             version=version.number,
             offset=record.offset,
             routes=len(version.routes),
+            workspaces=len(version.workspaces),
         )
+        for finding in version.findings:
+            self._meter.count("buckthorn_bad_records", kind="finding")
+            _logger.warning(
+                "configuration_finding", version=version.number, finding=finding
+            )
         self._on_version(version)
 
     def _decode_record(
--- a/packages/standins/buckthorn_standins/limit_ways.py
+++ b/packages/standins/buckthorn_standins/limit_ways.py
@@ -95,7 +95,7 @@
         now_s = n / 1_000
         request = slot_queues.SlotRequest(
             ids.RouteName("browse"),
-            n % 3,
+            slot_queues.Priority(n % 3, n % 3),
             now_s + 2,
             now_s + 0.8,
             now_s + 1.5,
--- a/packages/standins/buckthorn_standins/mesh_model.py
+++ b/packages/standins/buckthorn_standins/mesh_model.py
@@ -415,7 +415,7 @@
             target_at_s = attempt.finish_by_s
         work = slot_queues.SlotRequest(
             route.name,
-            route.priority,
+            slot_queues.Priority(route.priority, route.priority),
             attempt.until_s,
             target_at_s,
             attempt.finish_by_s,
--- a/tests/fakes/keyed_logs.py
+++ b/tests/fakes/keyed_logs.py
@@ -4,6 +4,7 @@
 
 from buckthorn_adapters import metrics
 from buckthorn_adapters import traffic_counters
+from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import topic_tables
 from buckthorn_sidecar import interfaces
@@ -35,7 +36,9 @@
             records, ids.Offset(len(self.records)), now_s, self.epoch
         )
 
-    async def append(self, topic, key, value):
+    async def append(self, topic, key, value, at=None):
+        if at is not None and at != len(self.records):
+            raise errors.LogError(errors.Code.LOG_MOVED_ON, topic)
         self.appended.append((key, value))
         offset = ids.Offset(len(self.records))
         self.records.append(topic_tables.Record(key, value, offset))
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -208,6 +208,9 @@
 
     def _log_append(self, call, fields, body):
         position, offset = 0, len(self._topics[fields["topic"]])
+        if int(fields.get("at", offset)) != offset:
+            self._reply(call, 412, json.dumps({"end": offset}).encode())
+            return
         while position < len(body):
             length = int.from_bytes(body[position : position + 4], "big")
             content = body[position + 4 : position + 4 + length]
