Wait for the second host's registration in the tests of restored logs

Cause: the fixture took a served request for a sign that the second host is registered, but the first host's instance can serve it as well. Under load test_a_registration_is_written_again then found one registration of two (1 of 1 runs of the whole suite beside other load).

Change: the fixture waits for the event. A host that doesn't start in a test now shows its exit status and the end of its log; two such cases in the same run showed neither.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -476,9 +476,19 @@
                 stdout=log,
                 stderr=log,
             )
-        wait_for(lambda: self.readiness() is not None)
+        try:
+            wait_for(lambda: self.readiness() is not None or not self.running())
+        except AssertionError as exc:
+            exc.add_note(self._last_lines())
+            raise
+        assert self.running(), self._last_lines()
         return self
 
+    def _last_lines(self):
+        status = self._process.poll()
+        lines = self.log.read_text().splitlines()[-10:]
+        return f"{self.name}: exit status {status}, {lines}"
+
     def close(self):
         if self._process is not None and self._process.poll() is None:
             self._process.kill()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -26,6 +26,7 @@
     second = new_host("h-2", instance)
     standins.wait_for(lambda: second.readiness() == 200)
     assert instance.heartbeat(second.ports["control"]) == 200
+    standins.wait_for(lambda: second.events("registered"))
     standins.wait_for(lambda: second.call("warm-up").status == 200)
     return host, second
 
