Withdraw keys and send long bodies in the soak

Cause: the soak knew neither workspaces nor long responses, so a key that leaks, a withdrawn key that is taken or a long response that is cut would have gone unnoticed under overlapping faults.

Change: all requests carry a key of a workspace, a fault withdraws a second key, a quarter of the requests gets a response of about 90 KB, and the checks cover both.

--- a/tests/soak/meshes.py
+++ b/tests/soak/meshes.py
@@ -24,9 +24,27 @@
     "browse": ("/browse/1", "GET"),
     "book": ("/book/1", "POST"),
     "once": ("/once/1", "PUT"),
+    "download": ("/download/1", "GET"),
 }
+REPEATABLE = ("browse", "download")
 ORDERS = standins.path_entry("once", "/once/", "orders", kind="non_idempotent")
+DOWNLOAD = standins.path_entry("download", "/download/", kind="download")
 EXTRA = standins.path_entry("extra", "/extra/")
+WORKSPACE = "shop"
+# A key that all versions hold.
+KEY = "key-of-all-versions"
+LONG_BODY_REPEATS = 8_000
+TENANT = (standins.PREFIX + "Tenant").lower()
+
+
+def _bearer(key):
+    return {"Authorization": f"Bearer {key}"}
+
+
+def _body(kind, request_id):
+    """Returns the body of an instance's answer; that of a download is long."""
+    repeats = LONG_BODY_REPEATS if kind == "download" else 1
+    return f"done {request_id}".encode() * repeats
 
 
 def _target(run):
@@ -89,6 +107,9 @@
         self.proxies = {}
         self.number = itertools.count(2)
         self.published = []
+        # Keys beside KEY: the one in force, and those withdrawn before it.
+        self.short_lived_key = "key-0"
+        self.withdrawn_keys = []
         # Copies of the store, the newest last.
         self.copies = collections.deque(maxlen=3)
         self.replies = {}
@@ -123,15 +144,19 @@
     def _work(self, instance):
         def respond(call, run):
             time.sleep(0.02 + 0.06 * random.random())
-            instance.answer(call, run)
+            kind = run["path"].split("/")[1]
+            instance.answer(call, run, body=_body(kind, run["id"]))
 
         return respond
 
     def publish(self, extra=False):
-        paths = [standins.BROWSE, standins.BOOK, ORDERS]
+        paths = [standins.BROWSE, standins.BOOK, ORDERS, DOWNLOAD]
         if extra:
             paths.append(EXTRA)
-        record = standins.configuration(next(self.number), *paths)
+        tenant = {"name": WORKSPACE, "apiKeys": [KEY, self.short_lived_key]}
+        record = standins.configuration(
+            next(self.number), *paths, tenants=[tenant]
+        )
         self.published.append(record)
         self.store.put("keyed.op", "config", record)
 
@@ -230,8 +255,11 @@
             host = random.choice(self.hosts)
             body = b"x" if method != "GET" else None
             self._sent[request_id] = host, time.monotonic()
+            headers = {**_bearer(KEY), TENANT: "set by the caller"}
             try:
-                reply = host.call(request_id, path, method, body, 1500)
+                reply = host.call(
+                    request_id, path, method, body, 1500, headers=headers
+                )
             except (OSError, http.client.HTTPException):
                 reply = None
                 time.sleep(0.05)
@@ -279,13 +307,32 @@
                 for kind in KINDS
                 if not self._is_served(host, kind)
             ]
+            missing.extend(
+                f"{host.name} takes the withdrawn {key}"
+                for host in self.hosts
+                for key in self.withdrawn_keys
+                if not self._refuses(host, key)
+            )
         return missing
 
+    def _refuses(self, host, key):
+        try:
+            reply = host.call(f"p-{next(self._ids)}", headers=_bearer(key))
+        except (OSError, http.client.HTTPException):
+            return False
+        return reply.status == 401
+
     def _is_served(self, host, kind):
         path, method = KINDS[kind]
         body = b"x" if method != "GET" else None
         try:
-            reply = host.call(f"p-{next(self._ids)}", path, method, body)
+            reply = host.call(
+                f"p-{next(self._ids)}",
+                path,
+                method,
+                body,
+                headers=_bearer(KEY),
+            )
         except (OSError, http.client.HTTPException):
             return False
         return reply.status == 200
@@ -295,14 +342,15 @@
         for request_id, (kind, reply) in self.replies.items():
             runs = sum(i.run_count(request_id) for i in self.instances)
             status = reply.status if reply is not None else None
-            if kind != "browse" and runs > 1:
+            if kind not in REPEATABLE and runs > 1:
                 found.append(f"{request_id} ({kind}) ran {runs} times")
-            if kind != "browse" and status in NOT_RUN and runs:
+            if kind not in REPEATABLE and status in NOT_RUN and runs:
                 found.append(f"{request_id} ({kind}) got {status} and ran")
-            if status == 200 and reply.body != f"done {request_id}".encode():
+            if status == 200 and reply.body != _body(kind, request_id):
                 found.append(f"{request_id} got another answer")
-            if status == 404:
-                found.append(f"{request_id} ({kind}) got 404")
+            if status in (401, 404):
+                found.append(f"{request_id} ({kind}) got {status}")
+        found.extend(self._wrong_workspaces())
         found.extend(
             f"{text} although its host knew that it leaves"
             for text in self._sent_although_told()
@@ -324,6 +372,17 @@
             )
         return found
 
+    def _wrong_workspaces(self):
+        """Returns runs that got a key, or another workspace than its own."""
+        found = []
+        for run in (run for i in self.instances for run in i.runs):
+            headers = run["headers"]
+            if "authorization" in headers:
+                found.append(f"{run['id']} ran with the caller's key")
+            if headers.get(TENANT) != WORKSPACE:
+                found.append(f"{run['id']} ran for {headers.get(TENANT)}")
+        return found
+
     def some_host(self):
         return self.rng.choice(self.hosts)
 
@@ -411,6 +470,13 @@
     mesh.publish(extra=mesh.rng.random() < 0.5)
 
 
+@fault
+def withdraw_key(mesh):
+    mesh.withdrawn_keys.append(mesh.short_lived_key)
+    mesh.short_lived_key = f"key-{len(mesh.withdrawn_keys)}"
+    mesh.publish()
+
+
 @fault
 def replace_lifetime(mesh):
     """Drains a lifetime, and starts the next one of the same instance."""
