Keep the rate limits of workspaces over all daemons

Cause: a workspace's ratePerS and burst were read and not enforced; a workspace could take any share of the fleet.

Change: a rate limit is divided over up to 8 shards. The holder of a shard is named by a record in the topic of members, changed by conditional appends, and lends tokens on a lease of 0.3 s; daemons borrow for requests that wait and ahead of steady demand, nearest holders first. Without a token a request waits up to 0.3 s and is then refused with 429 and Retry-After. A request that no instance ran gives its token back; another attempt after one that may have run takes another token. Registrations state whether a daemon keeps rate limits.

test_workspaces waits until the rate limit in its configuration is taken over; its assertions are unchanged.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -23,6 +23,20 @@
     "buckthorn_burn_copy_failures": (
         "Failed tries to take over the history of burn rates"
     ),
+    "buckthorn_cap_lent": "Tokens lent by the shards that this daemon holds",
+    "buckthorn_cap_messages": (
+        "Requests for tokens sent to other daemons, by kind and scope"
+    ),
+    "buckthorn_cap_old_members": (
+        "Registered daemons that don't keep the rate limits in force"
+    ),
+    "buckthorn_cap_shards": (
+        "Shards of the rate limits that this daemon lends from"
+    ),
+    "buckthorn_cap_tokens": (
+        "Tokens of rate limits that requests took or gave back, by result"
+    ),
+    "buckthorn_cap_wait": "Waits of requests for a token of a rate limit",
     "buckthorn_catch_ups": "Versions pulled after a peer was seen to be ahead",
     "buckthorn_claim": "Duration of claims of operation keys",
     "buckthorn_claims": "Claims of operation keys, by verdict",
--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -33,6 +33,8 @@
             at the end. A delayed announcement may come from any of them.
         revision: Rises with each record of the daemon. Tells which of two
             records is newer after the log was restored from a copy.
+        keeps_caps: Whether it keeps the rate limits of workspaces; daemons of
+            earlier releases don't.
     """
 
     daemon: ids.DaemonId
@@ -46,6 +48,7 @@
     closed_born_ms: lifetimes.BornMs = 0
     closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
     revision: foreign_values.Count = 0
+    keeps_caps: bool = False
 
     @property
     def closings(self) -> list[lifetimes.ClosedLifetime]:
@@ -108,6 +111,11 @@
         """Returns a daemon's registration, or None."""
         return self._by_daemon.get(daemon)
 
+    @property
+    def registrations(self) -> Iterable[Registration]:
+        """All registrations."""
+        return self._by_daemon.values()
+
     def for_service(self, service: ids.ServiceName) -> Iterable[Registration]:
         """Returns the registrations of a service."""
         return self._by_service.get(service, {}).values()
--- a/packages/core/buckthorn_core/errors.py
+++ b/packages/core/buckthorn_core/errors.py
@@ -47,6 +47,7 @@
     RECORD_TOO_LARGE = "record_too_large"
     VERSION_NOT_CLOSED = "version_not_closed"
     VERSION_MISMATCH = "version_mismatch"
+    RATE_LIMITED = "rate_limited"
 
 
 class CodeInfo(NamedTuple):
@@ -93,6 +94,7 @@
     Code.KEYS_FULL: CodeInfo(503, True),
     Code.LOG_UNAVAILABLE: CodeInfo(503, True),
     Code.PEER_UNAVAILABLE: CodeInfo(503, True),
+    Code.RATE_LIMITED: CodeInfo(429, True),
 }
 _INTERNAL = CodeInfo(500, False)
 
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -13,6 +13,7 @@
 from buckthorn_adapters import metrics
 from buckthorn_core import attempt_outcomes
 from buckthorn_core import caller_ages
+from buckthorn_core import cap_borrowing
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import failed_attempts
@@ -21,6 +22,7 @@
 from buckthorn_core import retry_quotas
 from buckthorn_core import virtual_hosts
 from buckthorn_core import workspace_keys
+from buckthorn_sidecar import caps
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
 from buckthorn_sidecar import interfaces
@@ -111,6 +113,7 @@
             in seconds after its refusal.
         tried_daemons: Daemons that are not chosen again.
         attempts: The attempts so far, for the log.
+        token: Token of the workspace's rate limit; None without one.
     """
 
     def __init__(
@@ -146,6 +149,7 @@
         self.room_after_s = math.inf
         self.tried_daemons: set[ids.DaemonId] = set()
         self.attempts: list[Attempt] = []
+        self.token: cap_borrowing.Token | None = None
 
     def add_refusal(self, result: frames.Failure) -> None:
         """Records when an upstream without room expects to have some."""
@@ -168,6 +172,7 @@
         newest_peer: The daemon that reported it last.
         stops_at_s: When this daemon stops, in seconds on the event loop's
             monotonic clock. A request that may take longer is refused.
+        caps: Rate limits of workspaces; None for none.
     """
 
     def __init__(
@@ -208,6 +213,7 @@
         self.newest_peer_version = 0
         self.newest_peer: ids.DaemonId | None = None
         self.stops_at_s = math.inf
+        self.caps: caps.Caps | None = None
 
     def remove(self, daemon: ids.DaemonId) -> None:
         """Drops the state and the link of a daemon that was removed."""
@@ -293,12 +299,15 @@
         try:
             self._suspicions.check(ctx.fingerprint)
             self._check_time_to_stop(ctx)
+            await self._take_token(ctx)
             response = await self._serve(ctx)
             outcome = str(response.status)
             return response
         except errors.RequestError as exc:
             outcome = exc.code.value
             self._caller_ages.on_refused(route.name, loop.time())
+            if self.caps is not None and exc.info.not_run:
+                self.caps.give_back(ctx.token)
             raise
         finally:
             self._record_outcome(ctx, outcome, loop.time())
@@ -327,6 +336,33 @@
             )
             raise
 
+    async def _take_token(self, ctx: RequestContext) -> None:
+        """Takes a token of the workspace's rate limit, if it has one.
+
+        Raises:
+            errors.RequestError: The rate limit is reached; nothing has run.
+        """
+        if self.caps is not None and ctx.workspace is not None:
+            ctx.token = await self.caps.acquire(
+                ctx.workspace, self._time_left_s(ctx)
+            )
+
+    async def _has_token_for_retry(
+        self, ctx: RequestContext, ran: bool = True
+    ) -> bool:
+        """Returns whether the rate limit allows another attempt.
+
+        Args:
+            ctx: The request.
+            ran: Whether the previous attempt may have run, with its token.
+        """
+        if ran:
+            try:
+                await self._take_token(ctx)
+            except errors.RequestError:
+                return False
+        return True
+
     def _check_time_to_stop(self, ctx: RequestContext) -> None:
         """Refuses a request that this daemon may not live to answer.
 
@@ -391,7 +427,10 @@
                     self._suspicions.complete(ctx.fingerprint)
                 ctx.arrivals += 1
                 failed = _to_http_response(result)
-                if not self._should_retry_response(ctx, result.status):
+                if not (
+                    self._should_retry_response(ctx, result.status)
+                    and await self._has_token_for_retry(ctx)
+                ):
                     return failed
             else:
                 ctx.arrivals += result.arrived
@@ -402,7 +441,11 @@
                 ctx.add_refusal(result)
                 refused = result
                 refusals += 1
-                if not self._should_retry_failure(ctx, result, refusals):
+                ran = not errors.CODE_INFO[result.code].not_run
+                if not (
+                    self._should_retry_failure(ctx, result, refusals)
+                    and await self._has_token_for_retry(ctx, ran)
+                ):
                     # An upstream's 5xx response is more informative to the
                     # caller than a daemon's refusal.
                     if failed is not None:
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -292,6 +292,78 @@
     """Asks for `Unrecorded` changes."""
 
 
+class TokenAsk(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for tokens of a workspace's rate limit.
+
+    Attributes:
+        shard: The shard to borrow from.
+        workspace: The workspace.
+        want: Number of tokens.
+    """
+
+    shard: int
+    workspace: ids.WorkspaceName
+    want: int
+
+
+class TokenReturn(msgspec.Struct, array_like=True, frozen=True):
+    """Tokens that were not spent.
+
+    Attributes:
+        shard: The shard that they were borrowed from.
+        workspace: The workspace.
+        grant: Number of the grant.
+        count: Number of tokens.
+    """
+
+    shard: int
+    workspace: ids.WorkspaceName
+    grant: int
+    count: int
+
+
+class TokenRequest(msgspec.Struct, tag="t", array_like=True, frozen=True):
+    """Asks a holder of shards for tokens and returns others.
+
+    Attributes:
+        number: Number of the request, for the reply.
+        asks: Tokens asked for; a request without any only checks whether the
+            holder can be reached.
+        returns: Tokens returned.
+    """
+
+    number: int
+    asks: list[TokenAsk] = []
+    returns: list[TokenReturn] = []
+
+
+class TokenGrant(msgspec.Struct, array_like=True, frozen=True):
+    """Answer to a `TokenAsk`.
+
+    Attributes:
+        count: Number of tokens lent.
+        grant: Number of the grant.
+        next_s: When to ask again for what is missing, in seconds from now;
+            None if the daemon does not lend from the shard.
+    """
+
+    count: int
+    grant: int
+    next_s: float | None
+
+
+class TokenReply(msgspec.Struct, tag="T", array_like=True, frozen=True):
+    """Reply to a `TokenRequest`.
+
+    Attributes:
+        number: Number of the request.
+        grants: Answers in the order of the request's asks.
+    """
+
+    number: int
+    grants: list[TokenGrant] = []
+
+
 Frame = (
     Request
     | Cancel
@@ -306,6 +378,8 @@
     | Confirm
     | Unrecorded
     | UnrecordedQuery
+    | TokenRequest
+    | TokenReply
 )
 LoadFrame = Response | Failure | Hello | Pong
 FeedFrame = Records | Confirm | Unrecorded
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -49,6 +49,7 @@
 ]
 UnresponsiveCallback = Callable[[directories.Registration], None]
 FeedFrameCallback = Callable[[ids.DaemonId, frames.FeedFrame], None]
+TokenReplyCallback = Callable[[ids.DaemonId, frames.TokenReply], None]
 # Returns the path of the health checks of a service; empty if not known.
 HealthPathLookup = Callable[[ids.ServiceName], str]
 
@@ -161,6 +162,7 @@
         on_feed_frame: FeedFrameCallback,
         known_suspicions: suspicions.Suspicions,
         health_path: HealthPathLookup,
+        on_token_reply: TokenReplyCallback = lambda daemon, frame: None,
     ):
         self.peer = peer
         self._suspicions = known_suspicions
@@ -168,6 +170,7 @@
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._on_feed_frame = on_feed_frame
+        self._on_token_reply = on_token_reply
         self._conn: FrameConnection | None = None
         self._connecting: asyncio.Task[FrameConnection] | None = None
         self._last_ping_s = 0.0
@@ -313,6 +316,8 @@
             pending_request = self.pending.get(frame.attempt)
             if pending_request is not None and not pending_request.fut.done():
                 pending_request.fut.set_result(frame)
+        elif isinstance(frame, frames.TokenReply):
+            self._on_token_reply(self.peer.daemon, frame)
 
     def _on_end(self, conn: FrameConnection, reason: str) -> None:
         if conn is not self._conn:
@@ -406,6 +411,7 @@
 
     Attributes:
         on_feed_frame: Called with each feed frame and the daemon that sent it.
+        on_token_reply: Called with each reply about tokens, in the same way.
     """
 
     def __init__(
@@ -420,6 +426,7 @@
         self._suspicions = known_suspicions
         self._health_path = health_path
         self.on_feed_frame: FeedFrameCallback = lambda daemon, frame: None
+        self.on_token_reply: TokenReplyCallback = lambda daemon, frame: None
         self._links: dict[ids.DaemonId, Link] = {}
         self._check_task: asyncio.Task[None] | None = None
 
@@ -451,6 +458,7 @@
                 self._on_feed_frame,
                 self._suspicions,
                 self._health_path,
+                self._on_token_reply,
             )
             self._links[registration.daemon] = link
         return link
@@ -460,6 +468,11 @@
     ) -> None:
         self.on_feed_frame(daemon, frame)
 
+    def _on_token_reply(
+        self, daemon: ids.DaemonId, frame: frames.TokenReply
+    ) -> None:
+        self.on_token_reply(daemon, frame)
+
     def remove(self, daemon: ids.DaemonId) -> None:
         """Closes the link to a removed daemon, unless requests are pending."""
         link = self._links.get(daemon)
@@ -483,6 +496,7 @@
         on_unrecorded: Called with changes that the log has lost, from a daemon,
             and with queries for them.
         on_end: Called when a daemon's connection has ended.
+        on_token_request: Called with each request for tokens.
     """
 
     def __init__(self, address: ids.Address, handler: ingress.Ingress):
@@ -494,6 +508,9 @@
             [FrameConnection, frames.Unrecorded | frames.UnrecordedQuery], None
         ] = lambda conn, frame: None
         self.on_end: Callable[[FrameConnection], None] = lambda conn: None
+        self.on_token_request: Callable[
+            [FrameConnection, frames.TokenRequest], None
+        ] = lambda conn, frame: None
         self._server: asyncio.Server | None = None
         self._conns: set[FrameConnection] = set()
 
@@ -555,6 +572,8 @@
             self.on_subscribe(conn, frame)
         elif isinstance(frame, frames.Unrecorded | frames.UnrecordedQuery):
             self.on_unrecorded(conn, frame)
+        elif isinstance(frame, frames.TokenRequest):
+            self.on_token_request(conn, frame)
 
     def _reply(
         self, conn: FrameConnection, fut: "asyncio.Future[frames.Frame]"
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -36,6 +36,11 @@
         retry_window_s: Length of that window, in seconds.
         link_mbps: Bandwidth of the host's network link, in Mbit/s.
         memory_mb: Memory limit of the process, in megabytes.
+        cap_window_s: Window of the bound on the runs of a workspace with a rate
+            limit, in seconds. The same on all daemons, as are the next two.
+        cap_overage: Runs allowed in a window beyond those of rate and burst, as
+            a fraction of them.
+        cap_slack: Runs allowed in a window in addition.
     """
 
     daemon: ids.DaemonId
@@ -55,3 +60,6 @@
     retry_window_s: float = 10.0
     link_mbps: float = 100.0
     memory_mb: float = DEFAULT_MEMORY_MB
+    cap_window_s: float = 5.0
+    cap_overage: float = 0.1
+    cap_slack: float = 20.0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -18,6 +18,7 @@
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
 from buckthorn_core import virtual_hosts
+from buckthorn_sidecar import caps
 from buckthorn_sidecar import egress
 from buckthorn_sidecar import feeds
 from buckthorn_sidecar import frames
@@ -158,6 +159,17 @@
             ),
             self.ingress.boot_id,
         )
+        self._caps = caps.Caps(
+            cfg,
+            log,
+            topics.members,
+            self._member_follower.table,
+            self.directory,
+            self._egress.links,
+            self._link_server,
+            self.meter,
+        )
+        self._egress.caps = self._caps
         self._registrar = recorders.Registrar(
             log,
             topics.members,
@@ -248,6 +260,7 @@
             asyncio.create_task(self._check_health_at_start()),
         ]
         self._feed.start()
+        self._caps.start()
         _logger.info("started", daemon=self._cfg.daemon)
 
     async def drain(self) -> None:
@@ -256,6 +269,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._cfg.grace_s - SHUTDOWN_RESERVE_S
         self._stopping = True
+        self._caps.drain()
         self.callers.drain()
         if self.ingress.lifetimes.state is lifetimes.UpstreamState.GONE:
             await self._withdraw()
@@ -286,6 +300,7 @@
         if self._health_check is not None:
             self._health_check.cancel()
         self._feed.close()
+        self._caps.close()
         self._registrar.close()
         self._suspicion_recorder.close()
         self._lost_record_writer.close()
@@ -378,6 +393,7 @@
                 latest.instance,
                 latest.born_ms,
                 tuple(before),
+                keeps_caps=True,
             )
         )
 
@@ -481,6 +497,7 @@
         names = {route.name for route in version.routes}
         self.ingress.keep_only(names)
         self._egress.keep_only(names)
+        self._caps.on_version(version)
 
 
 def text_response(status: int, body: bytes) -> http1.Response:
--- a/packages/sidecar/buckthorn_sidecar/topic_followers.py
+++ b/packages/sidecar/buckthorn_sidecar/topic_followers.py
@@ -13,6 +13,7 @@
 import loguru
 
 from buckthorn_adapters import metrics
+from buckthorn_core import cap_shards
 from buckthorn_core import directories
 from buckthorn_core import entries
 from buckthorn_core import errors
@@ -469,7 +470,13 @@
         )
 
     def revision_of(self, record: topic_tables.Record) -> topic_tables.Revision:
-        """Returns the revision of a member or suspicion record."""
+        """Returns the revision of a member or suspicion record.
+
+        Records of shards have none: after the log was restored from a copy,
+        only what it holds tells who may lend.
+        """
+        if record.key.startswith(cap_shards.KEY_PREFIX):
+            return topic_tables.NO_REVISION
         try:
             if record.key.startswith(suspicions.KEY_PREFIX):
                 return suspicions.revision_of(suspicions.decode(record.value))
@@ -482,6 +489,9 @@
         if record.key.startswith(suspicions.KEY_PREFIX):
             self._apply_suspicion(record)
             return
+        if record.key.startswith(cap_shards.KEY_PREFIX):
+            # Read from the table by `cap_records`.
+            return
         daemon = ids.DaemonId(record.key)
         if not record.value:
             self._remove(daemon)
--- a/tests/platform/test_workspaces.py
+++ b/tests/platform/test_workspaces.py
@@ -20,6 +20,8 @@
     standins.wait_for(
         lambda: host.call("w", headers=bearer("nobody")).status == 401
     )
+    # One workspace has a rate limit, which the daemon must first take over.
+    standins.wait_for(lambda: "buckthorn_cap_shards 8.0" in host.metrics())
     return host
 
 
