Try new software versions before their services move to them

Cause: operators order that a service moves to instances of a new version, which run beside the old ones. Nothing read these orders, and new instances got their full share of the requests at once.

The counts go to a driver among the service's daemons, which tests failures and slow answers against the old version, moves the traffic and records the result. Each daemon also stops on the evidence it has itself. Reports and replies are new last fields of Ping and Pong, which daemons of earlier releases skip.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -65,6 +65,13 @@
     "buckthorn_retries": "Further tries of callers' requests, by service",
     "buckthorn_status_query_failures": ("Failed queries of the fleet's status"),
     "buckthorn_summary_failures": "Failed summaries to other regions",
+    "buckthorn_trial_changes": "Changes of the phase of trials, by phase",
+    "buckthorn_trial_check": "Duration of checks of a running trial",
+    "buckthorn_trial_reports": "Reports on trials that were sent to a driver",
+    "buckthorn_trial_requests": (
+        "Attempts of requests during trials, by service and version (new, old)"
+    ),
+    "buckthorn_trials": "Trials of versions whose result is open",
     "buckthorn_unrecorded_changes": (
         "Changes in force that the log has lost and nobody has written again"
     ),
--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -33,6 +33,8 @@
             at the end. A delayed announcement may come from any of them.
         revision: Rises with each record of the daemon. Tells which of two
             records is newer after the log was restored from a copy.
+        software_version: Version of the upstream's software, as it was last
+            announced; empty if not known.
     """
 
     daemon: ids.DaemonId
@@ -46,6 +48,7 @@
     closed_born_ms: lifetimes.BornMs = 0
     closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
     revision: foreign_values.Count = 0
+    software_version: str = ""
 
     @property
     def closings(self) -> list[lifetimes.ClosedLifetime]:
--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -91,6 +91,7 @@
             requests without a limit, or nothing is known.
         software_version: Version of the upstream's software; empty if not
             known.
+        warming: Whether the upstream is still warming up.
     """
 
     slots: int
@@ -100,6 +101,7 @@
     start_delay_ms: int = 0
     notice: stated_limits.UpstreamNotice | None = None
     software_version: str = ""
+    warming: bool = False
 
 
 class UpstreamStatus:
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -27,6 +27,7 @@
 from buckthorn_sidecar import links
 from buckthorn_sidecar import settings
 from buckthorn_sidecar import suspicions
+from buckthorn_sidecar import trial_routing
 
 # Added to the request deadline so that the timeout response of the daemon
 # beside the upstream, which expires first, still arrives; in seconds.
@@ -168,6 +169,8 @@
         newest_peer: The daemon that reported it last.
         stops_at_s: When this daemon stops, in seconds on the event loop's
             monotonic clock. A request that may take longer is refused.
+        trial_routing: Routes requests of services whose new version is on
+            trial.
     """
 
     def __init__(
@@ -205,6 +208,9 @@
         self._attempt_ids = (
             attempt_outcomes.attempt_id(sender, n) for n in itertools.count()
         )
+        self.trial_routing = trial_routing.Routing(
+            directory, self._load_balancer, cfg, meter, self._rng
+        )
         self.newest_peer_version = 0
         self.newest_peer: ids.DaemonId | None = None
         self.stops_at_s = math.inf
@@ -478,13 +484,22 @@
             self._load_balancer.on_report(
                 local_registration, self._local.load(), now_s
             )
-        choice = self._load_balancer.choose(
+        choice = load_balancing.Selection(None)
+        for candidates in self.trial_routing.groups(
+            ctx.service,
+            ctx.route.name,
             list(self._candidates(ctx)),
-            now_s,
-            ctx.route.target_s,
-            ctx.target_at_s - now_s,
-            ctx.region_full,
-        )
+            not ctx.attempts,
+        ):
+            choice = self._load_balancer.choose(
+                candidates,
+                now_s,
+                ctx.route.target_s,
+                ctx.target_at_s - now_s,
+                ctx.region_full,
+            )
+            if choice.to is not None:
+                break
         for registration in choice.probes:
             self.links.get_or_create(registration).request_load_report(now_s)
         to = choice.to
@@ -502,6 +517,8 @@
         load, load_age_s = status.load, started_s - status.reported_s
         self._load_balancer.on_sent(to)
         outcome, reason = "cancelled", ""
+        observed = self.trial_routing.begin(ctx.service, ctx.route, to)
+        result = None
         try:
             result = await self._send(ctx, to)
             if isinstance(result, frames.Response):
@@ -511,6 +528,8 @@
             self._update_load_balancer(to, result)
             return result
         finally:
+            if observed is not None:
+                observed.end(result, loop.time() - started_s)
             ctx.attempts.append(
                 Attempt(
                     to.daemon,
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -13,6 +13,7 @@
 from buckthorn_core import ids
 from buckthorn_core import load_balancing
 from buckthorn_core import stated_limits
+from buckthorn_core import version_trials
 
 # Fits a body at the default limit for callers, with its headers.
 MAX_FRAME_BYTES = 70_000_000
@@ -161,10 +162,13 @@
         health_path: Path of the health check of the receiver's upstream;
             empty if not known. A daemon that has just started needs it while
             it can't read the configuration.
+        trials: Reports on trials of versions. A daemon of an earlier release
+            ignores them.
     """
 
     suspicions: list[entries.CrashSuspicion] = []
     health_path: str = ""
+    trials: list[version_trials.Report] = []
 
 
 class Pong(msgspec.Struct, tag="P", array_like=True, frozen=True):
@@ -174,11 +178,13 @@
         load: The upstream's load.
         version: The sender's configuration version.
         suspicions: Requests whose quarantine the receiver may not know.
+        trials: Trials that the receiver has reported on, or that have changed.
     """
 
     load: load_balancing.LoadReport
     version: int
     suspicions: list[entries.CrashSuspicion] = []
+    trials: list[version_trials.Status] = []
 
 
 class Subscribe(msgspec.Struct, tag="s", array_like=True, frozen=True):
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -153,6 +153,7 @@
             round(1000 * queue.limit.delay_s(now_s, queue.waiting)),
             self._notice(),
             "" if current is None else current.software_version,
+            queue.warming,
         )
 
     def _notice(self) -> stated_limits.UpstreamNotice | None:
--- a/packages/sidecar/buckthorn_sidecar/interfaces.py
+++ b/packages/sidecar/buckthorn_sidecar/interfaces.py
@@ -7,6 +7,7 @@
 from buckthorn_adapters import http1
 from buckthorn_core import ids
 from buckthorn_core import topic_tables
+from buckthorn_core import version_trials
 from buckthorn_core import virtual_hosts
 
 
@@ -196,3 +197,24 @@
             errors.ConfigError: The version is incomplete or has unresolved
                 references.
         """
+
+
+class TrialCodec(Protocol):
+    """Decodes orders of trials; encodes and decodes their results."""
+
+    def decode_order(self, key: str, value: bytes) -> version_trials.Order:
+        """Returns the order in a record.
+
+        Raises:
+            errors.ConfigError: The record is malformed.
+        """
+
+    def decode_result(self, value: bytes) -> version_trials.Result:
+        """Returns the result in a record's value.
+
+        Raises:
+            errors.ConfigError: The value is malformed.
+        """
+
+    def encode_result(self, result: version_trials.Result) -> bytes:
+        """Returns a record's value for a result."""
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -13,11 +13,13 @@
 from typing import NamedTuple
 
 import loguru
+import msgspec
 
 from buckthorn_adapters import http1
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import version_trials
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
 from buckthorn_sidecar import suspicions
@@ -49,6 +51,7 @@
 ]
 UnresponsiveCallback = Callable[[directories.Registration], None]
 FeedFrameCallback = Callable[[ids.DaemonId, frames.FeedFrame], None]
+TrialsCallback = Callable[[ids.DaemonId, list[version_trials.Status]], None]
 # Returns the path of the health checks of a service; empty if not known.
 HealthPathLookup = Callable[[ids.ServiceName], str]
 
@@ -151,6 +154,7 @@
         peer: The other daemon.
         pending: Requests in flight, by attempt id.
         boot_id: Boot id of the process that got the last request.
+        on_trials: Called with what the other daemon states of trials.
     """
 
     def __init__(
@@ -172,6 +176,7 @@
         self._connecting: asyncio.Task[FrameConnection] | None = None
         self._last_ping_s = 0.0
         self.boot_id = ""
+        self.on_trials: TrialsCallback = lambda daemon, statuses: None
         self.pending: dict[str, PendingRequest] = {}
 
     @property
@@ -307,6 +312,8 @@
             self._on_report(self.peer, frame)
         if isinstance(frame, frames.Hello | frames.Pong):
             self._suspicions.merge(frame.suspicions)
+        if isinstance(frame, frames.Pong) and frame.trials:
+            self.on_trials(self.peer.daemon, frame.trials)
         if isinstance(frame, frames.FeedFrame):
             self._on_feed_frame(self.peer.daemon, frame)
         elif isinstance(frame, frames.Response | frames.Failure):
@@ -406,6 +413,7 @@
 
     Attributes:
         on_feed_frame: Called with each feed frame and the daemon that sent it.
+        on_trials: Called with a daemon and what it states of trials.
     """
 
     def __init__(
@@ -420,6 +428,7 @@
         self._suspicions = known_suspicions
         self._health_path = health_path
         self.on_feed_frame: FeedFrameCallback = lambda daemon, frame: None
+        self.on_trials: TrialsCallback = lambda daemon, statuses: None
         self._links: dict[ids.DaemonId, Link] = {}
         self._check_task: asyncio.Task[None] | None = None
 
@@ -452,9 +461,15 @@
                 self._suspicions,
                 self._health_path,
             )
+            link.on_trials = self._on_trials
             self._links[registration.daemon] = link
         return link
 
+    def _on_trials(
+        self, daemon: ids.DaemonId, statuses: list[version_trials.Status]
+    ) -> None:
+        self.on_trials(daemon, statuses)
+
     def _on_feed_frame(
         self, daemon: ids.DaemonId, frame: frames.FeedFrame
     ) -> None:
@@ -482,6 +497,7 @@
         on_subscribe: Called with each subscription of a daemon.
         on_unrecorded: Called with changes that the log has lost, from a daemon,
             and with queries for them.
+        on_trials: Called with reports on trials; returns the reply.
         on_end: Called when a daemon's connection has ended.
     """
 
@@ -493,6 +509,9 @@
         self.on_unrecorded: Callable[
             [FrameConnection, frames.Unrecorded | frames.UnrecordedQuery], None
         ] = lambda conn, frame: None
+        self.on_trials: Callable[
+            [list[version_trials.Report]], list[version_trials.Status]
+        ] = lambda reports: []
         self.on_end: Callable[[FrameConnection], None] = lambda conn: None
         self._server: asyncio.Server | None = None
         self._conns: set[FrameConnection] = set()
@@ -550,7 +569,11 @@
                 and not self._handler.health_path_known.is_set()
             ):
                 self._handler.set_health_path(frame.health_path)
-            conn.send(self._handler.pong())
+            pong = self._handler.pong()
+            if frame.trials:
+                trials = self.on_trials(frame.trials)
+                pong = msgspec.structs.replace(pong, trials=trials)
+            conn.send(pong)
         elif isinstance(frame, frames.Subscribe):
             self.on_subscribe(conn, frame)
         elif isinstance(frame, frames.Unrecorded | frames.UnrecordedQuery):
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -36,6 +36,11 @@
         retry_window_s: Length of that window, in seconds.
         link_mbps: Bandwidth of the host's network link, in Mbit/s.
         memory_mb: Memory limit of the process, in megabytes.
+        canary_share: Share of a service's requests that a version on trial may
+            get, over all daemons.
+        canary_slack: Requests that it may get in addition.
+        rollback_s: Time from the 50th bad response of a version until no daemon
+            uses it any more, in seconds.
     """
 
     daemon: ids.DaemonId
@@ -55,3 +60,6 @@
     retry_window_s: float = 10.0
     link_mbps: float = 100.0
     memory_mb: float = DEFAULT_MEMORY_MB
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_s: float = 5.0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
+from buckthorn_core import topic_tables
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import egress
 from buckthorn_sidecar import feeds
@@ -28,6 +29,7 @@
 from buckthorn_sidecar import recorders
 from buckthorn_sidecar import settings
 from buckthorn_sidecar import topic_followers
+from buckthorn_sidecar import trials
 
 # Callers switch to another daemon after two failed readiness checks, a second
 # apart; until then their requests are served.
@@ -63,11 +65,16 @@
         configurations: The configuration topic.
         configuration_key: Key of the configuration records.
         members: The topic of the daemons' registrations.
+        trial_prefix: Prefix of the keys of trials of versions; orders are in
+            the configuration topic. Empty if there are no trials.
+        trial_results: The topic of the results of trials.
     """
 
     configurations: str
     configuration_key: str
     members: str
+    trial_prefix: str = ""
+    trial_results: str = ""
 
 
 class Sidecar:
@@ -88,6 +95,7 @@
         log: interfaces.KeyedLog,
         topics: Topics,
         decode: interfaces.VersionDecoder,
+        trial_codec: interfaces.TrialCodec | None = None,
     ):
         self._cfg = cfg
         self.meter = metrics.Metrics(
@@ -118,7 +126,7 @@
         self._member_applier = topic_followers.MemberApplier(
             cfg.daemon, self.directory, self._egress.remove, self.meter
         )
-        applier = topic_followers.VersionApplier(
+        self._version_applier = applier = topic_followers.VersionApplier(
             topics.configuration_key,
             decode,
             self.holder,
@@ -129,7 +137,7 @@
             log,
             topics.configurations,
             topic_followers.CONFIGURATION_WAIT_S,
-            applier.on_record,
+            self._on_configuration_record,
             lambda removed_keys: None,
             self.meter,
             applier.revision_of,
@@ -158,6 +166,19 @@
             ),
             self.ingress.boot_id,
         )
+        self._trials = trials.Trials(
+            cfg,
+            log,
+            trials.Place(topics.trial_prefix, topics.trial_results),
+            trial_codec,
+            self.directory,
+            self._egress.trial_routing,
+            self._egress.links,
+            self._link_server,
+            self.ingress,
+            self.meter,
+        )
+        self._configuration_follower.on_lost = self._trials.on_log_restored
         self._registrar = recorders.Registrar(
             log,
             topics.members,
@@ -248,6 +269,7 @@
             asyncio.create_task(self._check_health_at_start()),
         ]
         self._feed.start()
+        self._trials.start()
         _logger.info("started", daemon=self._cfg.daemon)
 
     async def drain(self) -> None:
@@ -286,6 +308,7 @@
         if self._health_check is not None:
             self._health_check.cancel()
         self._feed.close()
+        self._trials.close()
         self._registrar.close()
         self._suspicion_recorder.close()
         self._lost_record_writer.close()
@@ -378,9 +401,18 @@
                 latest.instance,
                 latest.born_ms,
                 tuple(before),
+                software_version=self._software_version(),
             )
         )
 
+    def _software_version(self) -> str:
+        """Returns the upstream's version, also before it announces itself."""
+        current = self.ingress.lifetimes.current
+        if current is not None and current.software_version:
+            return current.software_version
+        local_record = self.directory.get(self._cfg.daemon)
+        return "" if local_record is None else local_record.software_version
+
     def _on_local_record(self) -> None:
         local_record = self.directory.get(self._cfg.daemon)
         if local_record is not None:
@@ -472,6 +504,10 @@
         del req
         return text_response(200, self.meter.exposition())
 
+    def _on_configuration_record(self, record: topic_tables.Record) -> None:
+        self._version_applier.on_record(record)
+        self._trials.on_record(record, self._configuration_follower.table.epoch)
+
     def _on_version(self, version: virtual_hosts.Version) -> None:
         self.callers.limits = version.limits
         self.ingress.version = version.number
