--- a/packages/core/buckthorn_core/directories.py
+++ b/packages/core/buckthorn_core/directories.py
@@ -35,6 +35,8 @@
             records is newer after the log was restored from a copy.
         keeps_caps: Whether it keeps the rate limits of workspaces; daemons of
             earlier releases don't.
+        software_version: Version of the upstream's software, as it was last
+            announced; empty if not known.
     """
 
     daemon: ids.DaemonId
@@ -49,6 +51,7 @@
     closed_before: tuple[lifetimes.ClosedLifetime, ...] = ()
     revision: foreign_values.Count = 0
     keeps_caps: bool = False
+    software_version: str = ""
 
     @property
     def closings(self) -> list[lifetimes.ClosedLifetime]:
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -41,6 +41,11 @@
         cap_overage: Runs allowed in a window beyond those of rate and burst, as
             a fraction of them.
         cap_slack: Runs allowed in a window in addition.
+        canary_share: Share of a service's requests that a version on trial may
+            get, over all daemons.
+        canary_slack: Requests that it may get in addition.
+        rollback_s: Time from the 50th bad response of a version until no daemon
+            uses it any more, in seconds.
     """
 
     daemon: ids.DaemonId
@@ -63,3 +68,6 @@
     cap_window_s: float = 5.0
     cap_overage: float = 0.1
     cap_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_s: float = 5.0
