Send long bodies between daemons in pieces, within the memory budget

A body over 16 KB was one frame: small responses on the same host waited for it, and bodies of other daemons were in no budget, so that six uploads of 16 MB at once took 230 MB on a host of 200 MB.

Long bodies of requests and responses are sent in pieces to daemons that take them, in turn and paced below linkMbps; bodies to other regions have a rate of their own. Bodies from other daemons count in the byte budget, and a request that has no room is refused as not run. Its share is 0.33 of the memory instead of 0.15, since a body is no longer copied four times.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -25,6 +25,8 @@
 # final responses, and chunk framing, which takes five bytes for a chunk of one.
 MAX_RESPONSE_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_PER_BODY_BYTE = 8
+# Bytes of a body that are written at once.
+WRITE_BYTES = 65_536
 # Retry-After for a body that exceeded the memory budget. Most of the requests
 # that fill the budget end within this time.
 BODY_MEMORY_RETRY_S = 0.5
@@ -113,12 +115,19 @@
     method: str, target: str, headers: Headers, body: bytes
 ) -> bytes:
     """Returns a request in wire format."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: Headers, body_bytes: int
+) -> bytes:
+    """Returns the head of a request with a body of `body_bytes`."""
     lines = [f"{method} {target} HTTP/1.1"]
     lines.extend(f"{key}: {value}" for key, value in headers)
-    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(f"Content-Length: {len(body)}")
+    if body_bytes or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {body_bytes}")
     lines.append("\r\n")
-    return "\r\n".join(lines).encode("latin-1") + body
+    return "\r\n".join(lines).encode("latin-1")
 
 
 def encode_response(
@@ -375,6 +384,8 @@
         self._last_received_s = 0.0
         self._close_reason: str | None = None
         self._waiter: asyncio.Future[None] | None = None
+        self._unsent = memoryview(b"")
+        self._writing_paused = False
         self.used = False
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
@@ -510,18 +521,39 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def send(self, data: bytes, head_only: bool = False) -> None:
+    def send(
+        self, data: bytes, head_only: bool = False, body: bytes = b""
+    ) -> None:
         """Sends a request.
 
         Args:
             data: The request in wire format.
             head_only: Whether the response has no body, as for HEAD.
+            body: Sent after `data` as the peer reads it, without a copy of the
+                whole in the write buffer.
         """
         self._head_only = head_only
         self._awaiting_response = True
         self._received_bytes = 0
         self._total_body_bytes = 0
         self._transport.write(data)
+        self._unsent = memoryview(body)
+        self._write_body()
+
+    def pause_writing(self) -> None:
+        """Stops writing the body while the write buffer is full."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Continues writing the body."""
+        self._writing_paused = False
+        self._write_body()
+
+    def _write_body(self) -> None:
+        while self._unsent and not self._writing_paused:
+            piece = self._unsent[:WRITE_BYTES]
+            self._unsent = self._unsent[WRITE_BYTES:]
+            self._transport.write(piece)
 
     def end_exchange(self) -> None:
         """Records that no response is expected, and frees its body's budget."""
@@ -530,8 +562,8 @@
 
     @property
     def all_sent(self) -> bool:
-        """Whether the write buffer is empty."""
-        return bool(self._transport.get_write_buffer_size() == 0)
+        """Whether nothing waits to be sent."""
+        return not self._unsent and self._transport.get_write_buffer_size() == 0
 
     async def receive(self) -> Response:
         """Returns the next final response.
@@ -578,6 +610,7 @@
         """Aborts the connection and frees its body's budget."""
         self._body_budget.release(self)
         self._body_pieces = []
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -17,9 +17,15 @@
     "buckthorn_bad_records": (
         "Records of the log that could not be read, by kind"
     ),
+    "buckthorn_bodies_refused": (
+        "Bodies from other daemons that there was no memory for"
+    ),
     "buckthorn_body_bytes": (
         "Bytes of bodies that are held, of all requests and answers"
     ),
+    "buckthorn_body_send": (
+        "Time from the first to the last piece of a long body, at the sender"
+    ),
     "buckthorn_burn_copy_failures": (
         "Failed tries to take over the history of burn rates"
     ),
@@ -45,6 +51,12 @@
         "Requests for the upstream beside this daemon that were refused or"
         " failed, by code"
     ),
+    "buckthorn_link_queued_bytes": (
+        "Bytes of long bodies that wait to be sent to other daemons"
+    ),
+    "buckthorn_link_rate": (
+        "Bytes a second at which this host sends long bodies"
+    ),
     "buckthorn_log_epoch": (
         "Epoch of the log; rises each time the log is restored from a copy"
     ),
@@ -58,6 +70,9 @@
     "buckthorn_pulls": "Pulls of versions by other daemons, by result",
     "buckthorn_quarantines": "Requests that are refused for crashing upstreams",
     "buckthorn_ready": "1 when callers are served, 0 while they are refused",
+    "buckthorn_region_rate": (
+        "Bytes a second at which this host sends long bodies to other regions"
+    ),
     "buckthorn_request": "Duration of callers' requests, by service",
     "buckthorn_request_errors": (
         "Callers' requests that were refused or failed, by service and code"
--- a/packages/core/buckthorn_core/attempt_outcomes.py
+++ b/packages/core/buckthorn_core/attempt_outcomes.py
@@ -81,6 +81,17 @@
             self._dropped.popitem(last=False)
             self._senders_evicted = True
 
+    def drop(self, attempt: str) -> bool:
+        """Drops the outcome of an ended attempt to free its memory.
+
+        Returns:
+            Whether there was one.
+        """
+        if self._ended.pop(attempt, None) is None:
+            return False
+        self._drop(attempt)
+        return True
+
     def may_have_dropped(self, attempt: str) -> bool:
         """Returns whether an unknown attempt may have reached this daemon."""
         sender, number = _split(attempt)
--- a/packages/core/buckthorn_core/byte_budgets.py
+++ b/packages/core/buckthorn_core/byte_budgets.py
@@ -12,9 +12,10 @@
 import sys
 from typing import Protocol
 
-# Share of the host's memory for bodies. Each body exists in up to four copies:
-# received pieces, body, frame between daemons, bytes being written.
-MEMORY_SHARE = 0.15
+# Share of the host's memory for bodies. A body of 64 MiB, the limit of callers,
+# fits on a host of 200 MB. Bodies are sent on without a copy of the whole, but
+# one that has just arrived exists twice while its pieces are joined.
+MEMORY_SHARE = 0.33
 MEGABYTE = 1_048_576
 NO_LIMIT = sys.maxsize
 
@@ -72,3 +73,12 @@
         """Releases the bytes of a holder."""
         self.used -= self._complete.pop(holder, 0)
         self.used -= self._incomplete.pop(holder, 0)  # type: ignore[call-overload]
+
+    def has_room(self, size: int) -> bool:
+        """Returns whether `size` further bytes are within the limit."""
+        return self.used + size <= self.limit
+
+    def hold(self, holder: object, size: int) -> None:
+        """Counts bytes that can't be evicted until they are released."""
+        self.used += size
+        self._complete[holder] = self._complete.get(holder, 0) + size
--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -91,6 +91,8 @@
             requests without a limit, or nothing is known.
         software_version: Version of the upstream's software; empty if not
             known.
+        link_drain_ms: Expected time until the bodies that wait on the host's
+            link are sent, in milliseconds.
     """
 
     slots: int
@@ -100,6 +102,7 @@
     start_delay_ms: int = 0
     notice: stated_limits.UpstreamNotice | None = None
     software_version: str = ""
+    link_drain_ms: int = 0
 
 
 class UpstreamStatus:
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -18,6 +18,7 @@
 from buckthorn_core import failed_attempts
 from buckthorn_core import ids
 from buckthorn_core import load_balancing
+from buckthorn_core import response_sizes
 from buckthorn_core import retry_quotas
 from buckthorn_core import virtual_hosts
 from buckthorn_core import workspace_keys
@@ -195,7 +196,9 @@
             self._on_unresponsive,
             local.suspicions,
             self._health_path,
+            local.bodies,
         )
+        self._response_sizes = response_sizes.ResponseSizes()
         self._service_selector = virtual_hosts.WeightedRoundRobin()
         self._caller_ages = caller_ages.CallerAges()
         self._retry_quotas = retry_quotas.RetryQuotas(
@@ -218,6 +221,7 @@
         """Drops the state of all routes except the given ones."""
         self._service_selector.keep_only(routes)
         self._caller_ages.keep_only(routes)
+        self._response_sizes.keep_only(routes)
 
     def _health_path(self, service: ids.ServiceName) -> str:
         version = self._holder.current
@@ -506,6 +510,7 @@
             result = await self._send(ctx, to)
             if isinstance(result, frames.Response):
                 outcome = str(result.status)
+                self._response_sizes.add(ctx.route.name, len(result.body))
             else:
                 outcome, reason = result.code.value, result.message
             self._update_load_balancer(to, result)
--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -5,6 +5,9 @@
 outcome of a request can be queried later, on another connection.
 """
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 import msgspec
 
 from buckthorn_core import entries
@@ -17,11 +20,22 @@
 # Fits a body at the default limit for callers, with its headers.
 MAX_FRAME_BYTES = 70_000_000
 LENGTH_BYTES = 4
+# Memory is reserved for requests and responses above this size before they are
+# complete.
+LARGE_FRAME_BYTES = 65_536
+# Bytes of a frame that its kind and attempt take at most.
+MAX_PREFIX_BYTES = 264
+# Marks of the MessagePack format.
+_ARRAY_16 = 0xDC
+_STRING_8 = 0xD9
+_SHORT_STRING_MASK = 0x1F
 
 Headers = list[tuple[str, str]]
 
 
-class Request(msgspec.Struct, tag="r", array_like=True, frozen=True):
+class Request(
+    msgspec.Struct, tag="r", array_like=True, frozen=True, weakref=True
+):
     """A request for the upstream beside the receiving daemon.
 
     Attributes:
@@ -48,6 +62,8 @@
         workspace: Workspace of the caller, empty if it has none; None if the
             sender's configuration has no workspaces.
         workspace_priority: Priority of the workspace; None without one.
+        body_bytes: Length of a body that follows in pieces; 0 if the body is
+            in this frame.
     """
 
     attempt: str
@@ -69,6 +85,7 @@
     suspicion: entries.CrashSuspicion | None = None
     workspace: ids.WorkspaceName | None = None
     workspace_priority: int | None = None
+    body_bytes: int = 0
 
 
 class Cancel(msgspec.Struct, tag="c", array_like=True, frozen=True):
@@ -92,7 +109,9 @@
     boot_id: str
 
 
-class Response(msgspec.Struct, tag="A", array_like=True, frozen=True):
+class Response(
+    msgspec.Struct, tag="A", array_like=True, frozen=True, weakref=True
+):
     """The upstream's response.
 
     Attributes:
@@ -102,6 +121,8 @@
         body: The response body.
         load: The upstream's load.
         version: The sender's configuration version.
+        body_bytes: Length of a body that follows in pieces; 0 if the body is
+            in this frame.
     """
 
     attempt: str
@@ -110,6 +131,7 @@
     body: bytes
     load: load_balancing.LoadReport
     version: int
+    body_bytes: int = 0
 
 
 class Failure(msgspec.Struct, tag="F", array_like=True, frozen=True):
@@ -145,12 +167,14 @@
         load: The upstream's load.
         version: The sender's configuration version.
         suspicions: Requests that are, or were, in quarantine.
+        takes_pieces: Whether the sender takes bodies in pieces.
     """
 
     boot_id: str
     load: load_balancing.LoadReport
     version: int
     suspicions: list[entries.CrashSuspicion] = []
+    takes_pieces: bool = False
 
 
 class Ping(msgspec.Struct, tag="p", array_like=True, frozen=True):
@@ -161,10 +185,15 @@
         health_path: Path of the health check of the receiver's upstream;
             empty if not known. A daemon that has just started needs it while
             it can't read the configuration.
+        takes_pieces: Whether the sender takes bodies in pieces; stated in the
+            first frame on a connection.
+        region: The sender's region, stated there, too; empty if not known.
     """
 
     suspicions: list[entries.CrashSuspicion] = []
     health_path: str = ""
+    takes_pieces: bool = False
+    region: ids.RegionName = ids.RegionName("")
 
 
 class Pong(msgspec.Struct, tag="P", array_like=True, frozen=True):
@@ -292,6 +321,27 @@
     """Asks for `Unrecorded` changes."""
 
 
+class Piece(msgspec.Struct, tag="b", array_like=True, frozen=True):
+    """A piece of the body of a `Request` or `Response`.
+
+    Attributes:
+        attempt: Id of the attempt.
+        data: The bytes.
+        last: Whether the body ends here. One that is shorter than stated is
+            incomplete.
+    """
+
+    attempt: str
+    data: bytes
+    last: bool = False
+
+
+class PiecesReceived(msgspec.Struct, tag="k", array_like=True, frozen=True):
+    """States how many further pieces the sender of this frame has read."""
+
+    count: int
+
+
 Frame = (
     Request
     | Cancel
@@ -306,6 +356,8 @@
     | Confirm
     | Unrecorded
     | UnrecordedQuery
+    | Piece
+    | PiecesReceived
 )
 LoadFrame = Response | Failure | Hello | Pong
 FeedFrame = Records | Confirm | Unrecorded
@@ -319,38 +371,118 @@
     return len(data).to_bytes(LENGTH_BYTES, "big") + data
 
 
+class LostBody(NamedTuple):
+    """A request or response whose body was not received; never sent.
+
+    Attributes:
+        attempt: Id of the attempt.
+        is_request: Whether it is a request.
+        is_broken: Whether the body broke off. Otherwise there was no memory
+            for it.
+    """
+
+    attempt: str
+    is_request: bool
+    is_broken: bool = False
+
+
 class FrameReader:
     """Splits a byte stream into frames."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        reserve: Callable[[int], bool] = lambda size: True,
+        release: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates the reader.
+
+        Args:
+            reserve: Called with the memory that an incomplete request or
+                response takes, in bytes; returns whether there is room.
+            release: Called when that frame has ended.
+        """
         self._buffer = bytearray()
+        self._reserve = reserve
+        self._release = release
+        self._is_admitted = False
+        self._skipped_bytes = 0
 
-    def feed(self, data: bytes) -> list[Frame]:
+    def feed(self, data: bytes) -> list[Frame | LostBody]:
         """Returns the frames that the data completes.
 
         Raises:
             errors.PeerError: A frame is too long or can't be decoded.
         """
+        if self._skipped_bytes:
+            skipped = min(self._skipped_bytes, len(data))
+            self._skipped_bytes -= skipped
+            data = data[skipped:]
         buffer = self._buffer
-        buffer += data
-        found: list[Frame] = []
-        start = 0
-        while len(buffer) - start >= LENGTH_BYTES:
-            body = start + LENGTH_BYTES
-            length = int.from_bytes(buffer[start:body], "big")
-            if length > MAX_FRAME_BYTES:
-                raise errors.PeerError(
-                    errors.Code.BAD_MESSAGE, f"a frame of {length} bytes"
-                )
-            if len(buffer) - body < length:
-                break
-            start = body + length
-            found.append(_decode(bytes(buffer[body:start])))
-        del buffer[:start]
+        source: bytes | bytearray = data
+        if buffer:
+            buffer += data
+            source = buffer
+        found: list[Frame | LostBody] = []
+        start, size, length = 0, len(source), 0
+        with memoryview(source) as view:
+            while size - start >= LENGTH_BYTES:
+                body = start + LENGTH_BYTES
+                length = int.from_bytes(view[start:body], "big")
+                if length > MAX_FRAME_BYTES:
+                    raise errors.PeerError(
+                        errors.Code.BAD_MESSAGE, f"a frame of {length} bytes"
+                    )
+                if size - body < length:
+                    break
+                start = body + length
+                found.append(_decode(view[body:start]))
+                if self._is_admitted:
+                    self._is_admitted = False
+                    self._release()
+        if source is buffer:
+            del buffer[:start]
+        else:
+            buffer += data[start:]
+        if length > LARGE_FRAME_BYTES and not self._is_admitted:
+            self._check_room(length, found)
         return found
 
-
-def _decode(data: bytes) -> Frame:
+    def _check_room(self, length: int, found: list[Frame | LostBody]) -> None:
+        """Refuses a large body that is incomplete and has no room."""
+        buffer = self._buffer
+        if len(buffer) < LENGTH_BYTES + MAX_PREFIX_BYTES:
+            return
+        refused = _read_prefix(buffer)
+        # Its bytes are held here and, for a moment, in the decoded frame.
+        if refused is None or self._reserve(2 * length):
+            self._is_admitted = True
+            return
+        found.append(refused)
+        self._skipped_bytes = LENGTH_BYTES + length - len(buffer)
+        buffer.clear()
+
+
+def _read_prefix(buffer: bytearray) -> LostBody | None:
+    """Returns the attempt of an incomplete request or response.
+
+    None if it is another frame. The frame is an array that begins with the
+    one-letter tag and the attempt, a string of up to 255 bytes.
+    """
+    start = LENGTH_BYTES + (3 if buffer[LENGTH_BYTES] == _ARRAY_16 else 1)
+    tag, kind = buffer[start : start + 2], buffer[start + 2]
+    start += 3
+    if tag not in (b"\xa1r", b"\xa1A"):
+        return None
+    if kind == _STRING_8:
+        length = buffer[start]
+        start += 1
+    else:
+        length = kind & _SHORT_STRING_MASK
+    attempt = buffer[start : start + length].decode(errors="replace")
+    return LostBody(attempt, tag == b"\xa1r")
+
+
+def _decode(data: memoryview) -> Frame:
     try:
         return _decoder.decode(data)
     except msgspec.DecodeError as exc:
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -25,9 +25,11 @@
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import lifetimes
+from buckthorn_core import link_schedules
 from buckthorn_core import load_balancing
 from buckthorn_core import slot_queues
 from buckthorn_core import stated_limits
+from buckthorn_sidecar import body_pieces
 from buckthorn_sidecar import crashes
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import interfaces
@@ -61,6 +63,7 @@
         health_path_known: Set once the path of the upstream's health check is
             known, from the configuration or from another daemon.
         version: The configuration version in force, for load reports.
+        bodies: Long bodies that other daemons send and receive.
         boot_id: Unique id of this process, prefixed with the daemon's id.
         suspicions: What this daemon knows of requests that crash upstreams.
         on_admission_change: Called when admission opens or closes.
@@ -80,6 +83,13 @@
         self._meter = meter
         self._pool = upstream_pools.UpstreamPool(mesh_headers, body_budget)
         self._pool.set_address(cfg.upstream_address)
+        self.bodies = body_pieces.HostBodies(
+            cfg.region, cfg.link_mbps, body_budget, meter
+        )
+        self.bodies.make_room = self._drop_long_outcomes
+        self._body_budget = body_budget
+        # Attempts whose long responses are kept for outcome queries, in order.
+        self._long_outcomes: dict[str, None] = {}
         self._admissions: dict[int, asyncio.Future[None]] = {}
         self._tasks: dict[str, asyncio.Task[frames.Frame]] = {}
         self._outcomes: attempt_outcomes.AttemptOutcomes[
@@ -113,8 +123,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is running or queued."""
-        return not self._tasks
+        """Whether no request is running or queued, and no body is sent."""
+        return not self._tasks and not self.bodies.busy
 
     def start(self) -> None:
         """Records the start of the process."""
@@ -133,6 +143,7 @@
             task.cancel()
         self._crash_detector.close()
         self._pool.close()
+        self.bodies.close()
 
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Drops the state of all routes except the given ones."""
@@ -153,6 +164,7 @@
             round(1000 * queue.limit.delay_s(now_s, queue.waiting)),
             self._notice(),
             "" if current is None else current.software_version,
+            round(1000 * self.bodies.schedule.drain_s),
         )
 
     def _notice(self) -> stated_limits.UpstreamNotice | None:
@@ -201,6 +213,7 @@
             self.load(),
             self.version,
             self.suspicions.reached_limit(),
+            True,
         )
 
     def pong(
@@ -367,6 +380,45 @@
             ), False
         return errors.RequestError(errors.Code.UPSTREAM_FAILED, reason), True
 
+    def lost_body(self, attempt: str, is_broken: bool) -> frames.Failure:
+        """Returns the failure of a request whose body was not received.
+
+        Args:
+            attempt: Id of the attempt. It stays unknown, as one that never
+                arrived.
+            is_broken: Whether the body broke off; there was no memory for it
+                otherwise.
+        """
+        exc = errors.RequestError(
+            errors.Code.BODIES_FULL,
+            "bodies of other requests take the memory",
+            self._retry_after_s(),
+        )
+        if is_broken:
+            exc = errors.RequestError(
+                errors.Code.PEER_UNAVAILABLE, "the body broke off"
+            )
+        return self._failure(attempt, exc, False)
+
+    def _drop_long_outcomes(self, size: int) -> None:
+        """Drops the outcomes with the oldest long bodies to make room."""
+        for attempt in list(self._long_outcomes):
+            if self._body_budget.has_room(size):
+                return
+            if self._outcomes.drop(attempt):
+                del self._long_outcomes[attempt]
+
+    def _keep_long_outcome(self, frame: frames.Response) -> None:
+        """Counts a long response, and remembers it for `make_room`."""
+        if len(frame.body) <= link_schedules.SMALL_BODY_BYTES:
+            return
+        self.bodies.count(frame)
+        for attempt in list(self._long_outcomes):
+            if self._outcomes.get(attempt) is not None:
+                break
+            del self._long_outcomes[attempt]
+        self._long_outcomes[frame.attempt] = None
+
     def cancel(self, attempt: str) -> None:
         """Cancels a request whose caller has disconnected.
 
@@ -389,7 +441,7 @@
         try:
             suspected = await self._await_suspect_run(req, deadline_s)
             ticket = await self._admit(req, started_s, deadline_s)
-            conn, data = await self._prepare(req, deadline_s)
+            conn, data, body = await self._prepare(req, deadline_s)
             arrived = True
             if req.suspicion is not None:
                 self._crash_detector.begin(
@@ -403,7 +455,7 @@
             self._meter.count("buckthorn_upstream_requests")
             async with asyncio.timeout_at(deadline_s + RESPONSE_SLACK_S):
                 exchange = await self._pool.exchange(
-                    conn, req.method, data, req.request_id
+                    conn, req.method, data, req.request_id, body
                 )
             responded = True
             self._record_response(req, lifetime, exchange.metadata)
@@ -705,8 +757,10 @@
 
     async def _prepare(
         self, req: frames.Request, deadline_s: float
-    ) -> tuple[http1.Connection, bytes]:
-        """Returns an upstream connection and the encoded request.
+    ) -> tuple[http1.Connection, bytes, bytes]:
+        """Returns an upstream connection, the request, and the rest of it.
+
+        A long body is not copied behind its head.
 
         Raises:
             errors.RequestError: The upstream is unreachable, admission closed
@@ -735,9 +789,12 @@
         headers = self._mesh_headers.upstream_headers(
             req.headers, left_s, req.caller_service, instance, req.workspace
         )
-        return conn, http1.encode_request(
-            req.method, req.path, headers, req.body
+        head = http1.encode_request_head(
+            req.method, req.path, headers, len(req.body)
         )
+        if len(req.body) > link_schedules.SMALL_BODY_BYTES:
+            return conn, head, req.body
+        return conn, head + req.body, b""
 
     def _instance(self) -> ids.InstanceId:
         """Returns the instance that the request must reach.
@@ -779,7 +836,7 @@
                 errors.Code.UPSTREAM_FAILED,
                 f"the upstream answered {response.status} and may have run it",
             )
-        return frames.Response(
+        frame = frames.Response(
             req.attempt,
             response.status,
             http1.end_to_end(response.headers),
@@ -787,6 +844,8 @@
             self.load(),
             self.version,
         )
+        self._keep_long_outcome(frame)
+        return frame
 
     def _failure(
         self,
--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 import functools
+import socket
 from typing import Any
 from typing import NamedTuple
 
@@ -18,6 +19,9 @@
 from buckthorn_core import directories
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import link_schedules
+from buckthorn_core import load_balancing
+from buckthorn_sidecar import body_pieces
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
 from buckthorn_sidecar import suspicions
@@ -95,18 +99,43 @@
             loop's monotonic clock.
         last_reply_s: The same without records of a feed, which come unasked:
             they don't show that the other direction still works.
+        takes_pieces: Whether the other daemon takes bodies in pieces.
+        path: State of the pieces that are sent on the connection.
+        sending: Bodies that are being sent, by attempt.
     """
 
     def __init__(
         self,
-        on_frame: Callable[["FrameConnection", frames.Frame], None],
+        on_frame: Callable[
+            ["FrameConnection", frames.Frame | frames.LostBody], None
+        ],
         on_end: Callable[["FrameConnection", str], None],
         on_start: Callable[["FrameConnection"], None] = lambda conn: None,
+        bodies: body_pieces.HostBodies | None = None,
+        is_expected: Callable[[str], bool] = lambda attempt: True,
     ):
+        """Creates the connection.
+
+        Args:
+            on_frame: Called with each frame that is received.
+            on_end: Called with the reason when the connection has ended.
+            on_start: Called when the connection is open.
+            bodies: Sends and receives long bodies; None for one without limits.
+            is_expected: Returns whether an attempt waits for its response.
+        """
+        self._bodies = bodies or body_pieces.HostBodies()
+        self._is_expected = is_expected
+        self._receiving: dict[str, body_pieces.ReceivedBody] = {}
+        self.sending: dict[str, body_pieces.SentBody] = {}
+        self.path = link_schedules.Path()
+        self.takes_pieces = False
         self._on_start = on_start
         self._on_frame = on_frame
         self._on_end = on_end
-        self._reader = frames.FrameReader()
+        self._reader = frames.FrameReader(
+            lambda size: self._bodies.reserve(self._reader, size),
+            lambda: self._bodies.release(self._reader),
+        )
         self._loop = asyncio.get_running_loop()
         self.transport: Any = None
         self.boot_id: asyncio.Future[str] = self._loop.create_future()
@@ -117,6 +146,14 @@
         """Stores the transport and sets the socket options."""
         self.transport = transport
         http1.set_socket_options(transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDBUF,
+                self._bodies.send_buffer_bytes,
+            )
+        transport.set_write_buffer_limits(link_schedules.MAX_PIECE_BYTES)
         self._on_start(self)
 
     def data_received(self, data: bytes) -> None:
@@ -130,18 +167,115 @@
         self.last_received_s = self._loop.time()
         if not found or not all(isinstance(f, frames.FeedFrame) for f in found):
             self.last_reply_s = self.last_received_s
+        piece_count = 0
         for frame in found:
+            if isinstance(frame, frames.Request | frames.Response):
+                self._receive_body_frame(frame)
+            elif isinstance(frame, frames.Piece):
+                piece_count += 1
+                self._receive_piece(frame)
+            elif isinstance(frame, frames.PiecesReceived):
+                self._bodies.on_received(self, frame.count)
+            else:
+                self._on_frame(self, frame)
+        if piece_count:
+            self.write(frames.PiecesReceived(piece_count))
+
+    def _receive_body_frame(self, frame: body_pieces.BodyFrame) -> None:
+        if not frame.body_bytes:
+            self._bodies.count(frame)
             self._on_frame(self, frame)
+            return
+        is_request = isinstance(frame, frames.Request)
+        if not is_request and not self._is_expected(frame.attempt):
+            # The attempt was given up before its response was ready.
+            self.write(frames.Cancel(frame.attempt))
+            return
+        if not 0 < frame.body_bytes <= frames.MAX_FRAME_BYTES:
+            _logger.warning("bad_frame", error=f"{frame.body_bytes} bytes")
+            self.transport.abort()
+            return
+        self.drop_received(frame.attempt)
+        received = body_pieces.ReceivedBody(frame)
+        if not self._bodies.reserve(received, frame.body_bytes):
+            self._on_frame(self, frames.LostBody(frame.attempt, is_request))
+            return
+        received.start(self._loop.time())
+        self._receiving[frame.attempt] = received
+
+    def _receive_piece(self, piece: frames.Piece) -> None:
+        received = self._receiving.get(piece.attempt)
+        if received is None:
+            return
+        fits = received.add(piece.data)
+        if fits and not piece.last:
+            return
+        self.drop_received(piece.attempt)
+        if not (fits and received.is_complete):
+            is_request = isinstance(received.frame, frames.Request)
+            lost = frames.LostBody(piece.attempt, is_request, True)
+            self._on_frame(self, lost)
+            return
+        frame = received.join(self._loop.time())
+        self._bodies.count(frame)
+        self._on_frame(self, frame)
+
+    def drop_received(self, attempt: str) -> None:
+        """Drops what has been received of a body."""
+        received = self._receiving.pop(attempt, None)
+        if received is not None:
+            self._bodies.release(received)
+
+    def drop_body(self, attempt: str) -> None:
+        """Ends the pieces of an attempt in both directions."""
+        self.drop_received(attempt)
+        self._bodies.cancel(self, attempt)
+
+    def pause_writing(self) -> None:
+        """Holds back pieces while the write buffer is full."""
+        self.path.is_blocked = True
+
+    def resume_writing(self) -> None:
+        """Continues sending pieces."""
+        self.path.is_blocked = False
+        self._bodies.pump()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection."""
+        self._bodies.cancel_all(self)
+        for attempt in list(self._receiving):
+            self.drop_received(attempt)
+        self._bodies.release(self._reader)
         self.boot_id.cancel()
         self._on_end(self, str(exc) if exc else "closed")
 
     def send(self, frame: frames.Frame) -> None:
-        """Sends a frame, unless the connection is closing."""
+        """Sends a frame, unless the connection is closing.
+
+        The body of a request or response follows in pieces if it is long and
+        the other daemon takes them.
+        """
+        if (
+            self.takes_pieces
+            and isinstance(frame, body_pieces.BodyFrame)
+            and len(frame.body) > link_schedules.SMALL_BODY_BYTES
+        ):
+            if not self.transport.is_closing():
+                self._bodies.send(self, frame)
+        else:
+            self.write(frame)
+
+    def write(self, frame: frames.Frame) -> None:
+        """Writes a frame at once, unless the connection is closing."""
         if not self.transport.is_closing():
-            self.transport.write(frames.encode(frame))
+            data = frames.encode(frame)
+            self._bodies.schedule.other_bytes += len(data)
+            self.transport.write(data)
+
+    def write_piece(self, piece: frames.Piece) -> None:
+        """Writes a piece that the schedule has counted."""
+        if not self.transport.is_closing():
+            self.transport.write(frames.encode(piece))
 
 
 class Link:
@@ -161,8 +295,10 @@
         on_feed_frame: FeedFrameCallback,
         known_suspicions: suspicions.Suspicions,
         health_path: HealthPathLookup,
+        bodies: body_pieces.HostBodies | None = None,
     ):
         self.peer = peer
+        self._bodies = bodies or body_pieces.HostBodies()
         self._suspicions = known_suspicions
         self._health_path = health_path
         self._on_report = on_report
@@ -213,7 +349,12 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, conn = await loop.create_connection(
-                lambda: FrameConnection(self._on_frame, self._on_end),
+                lambda: FrameConnection(
+                    self._on_frame,
+                    self._on_end,
+                    bodies=self._bodies,
+                    is_expected=self.pending.__contains__,
+                ),
                 host,
                 int(port),
             )
@@ -230,6 +371,7 @@
             _logger.info("foreign_daemon", daemon=self.peer.daemon, found=found)
             conn.transport.abort()
             raise ConnectionRefusedError(f"{found} listens there")
+        conn.path.crosses_region = self.peer.region != self._bodies.region
         self._conn = conn
         # The process may have started since; it gets this before the first
         # request.
@@ -237,6 +379,8 @@
             frames.Ping(
                 self._suspicions.reached_limit(),
                 self._health_path(self.peer.service),
+                True,
+                self._bodies.region,
             )
         )
         return conn
@@ -297,11 +441,18 @@
             raise
         finally:
             self.pending.pop(frame.attempt, None)
+            conn.drop_body(frame.attempt)
 
-    def _on_frame(self, conn: FrameConnection, frame: frames.Frame) -> None:
+    def _on_frame(
+        self, conn: FrameConnection, frame: frames.Frame | frames.LostBody
+    ) -> None:
         if isinstance(frame, frames.Hello) and not conn.boot_id.done():
+            conn.takes_pieces = frame.takes_pieces
             conn.boot_id.set_result(frame.boot_id)
-        if isinstance(frame, frames.LoadFrame) and self._has_expected_peer(
+        if isinstance(frame, frames.LostBody):
+            conn.write(frames.Cancel(frame.attempt))
+            frame = _lost_response(frame)
+        elif isinstance(frame, frames.LoadFrame) and self._has_expected_peer(
             conn
         ):
             self._on_report(self.peer, frame)
@@ -414,7 +565,9 @@
         on_unresponsive: UnresponsiveCallback,
         known_suspicions: suspicions.Suspicions,
         health_path: HealthPathLookup,
+        bodies: body_pieces.HostBodies | None = None,
     ):
+        self._bodies = bodies or body_pieces.HostBodies()
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._suspicions = known_suspicions
@@ -451,6 +604,7 @@
                 self._on_feed_frame,
                 self._suspicions,
                 self._health_path,
+                self._bodies,
             )
             self._links[registration.daemon] = link
         return link
@@ -485,9 +639,15 @@
         on_end: Called when a daemon's connection has ended.
     """
 
-    def __init__(self, address: ids.Address, handler: ingress.Ingress):
+    def __init__(
+        self,
+        address: ids.Address,
+        handler: ingress.Ingress,
+        bodies: body_pieces.HostBodies | None = None,
+    ):
         self._address = address
         self._handler = handler
+        self._bodies = bodies or body_pieces.HostBodies()
         self.on_subscribe: Callable[[FrameConnection, frames.Subscribe], None]
         self.on_subscribe = lambda conn, frame: None
         self.on_unrecorded: Callable[
@@ -524,7 +684,9 @@
                 conn.send(frame)
 
     def _create_connection(self) -> FrameConnection:
-        conn = FrameConnection(self._on_frame, self._on_end, self._send_hello)
+        conn = FrameConnection(
+            self._on_frame, self._on_end, self._send_hello, self._bodies
+        )
         self._conns.add(conn)
         return conn
 
@@ -536,14 +698,22 @@
         self._conns.discard(conn)
         self.on_end(conn)
 
-    def _on_frame(self, conn: FrameConnection, frame: frames.Frame) -> None:
+    def _on_frame(
+        self, conn: FrameConnection, frame: frames.Frame | frames.LostBody
+    ) -> None:
         if isinstance(frame, frames.Request):
             self._reply(conn, self._handler.submit(frame))
         elif isinstance(frame, frames.OutcomeQuery):
             self._reply(conn, self._handler.query_outcome(frame))
         elif isinstance(frame, frames.Cancel):
             self._handler.cancel(frame.attempt)
+            conn.drop_body(frame.attempt)
+        elif isinstance(frame, frames.LostBody):
+            conn.write(self._handler.lost_body(frame.attempt, frame.is_broken))
         elif isinstance(frame, frames.Ping):
+            if frame.takes_pieces:
+                conn.takes_pieces = True
+                conn.path.crosses_region = frame.region != self._bodies.region
             self._handler.suspicions.merge(frame.suspicions)
             if (
                 frame.health_path
@@ -562,6 +732,22 @@
         fut.add_done_callback(functools.partial(_send_result, conn))
 
 
+def _lost_response(lost: frames.LostBody) -> frames.Failure:
+    """Returns the failure of an attempt whose response has no body."""
+    reason = (
+        "the body broke off" if lost.is_broken else "no memory for the body"
+    )
+    return frames.Failure(
+        lost.attempt,
+        errors.Code.UPSTREAM_FAILED,
+        reason,
+        None,
+        True,
+        load_balancing.LoadReport(0, 0, 0, 0.0),
+        0,
+    )
+
+
 def _send_result(
     conn: FrameConnection, fut: "asyncio.Future[frames.Frame]"
 ) -> None:
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -110,7 +110,9 @@
         self.callers = listeners.Listener(
             cfg.callers_listen, self._egress.handle, body_budget
         )
-        self._link_server = links.LinkServer(cfg.daemons_listen, self.ingress)
+        self._link_server = links.LinkServer(
+            cfg.daemons_listen, self.ingress, self.ingress.bodies
+        )
         self.ingress.on_admission_change = lambda: self._link_server.broadcast(
             self.ingress.pong()
         )
@@ -210,6 +212,16 @@
         self.meter.register_gauge(
             "buckthorn_body_bytes", lambda: body_budget.used
         )
+        schedule = self.ingress.bodies.schedule
+        self.meter.register_gauge(
+            "buckthorn_link_queued_bytes", lambda: schedule.queued_bytes
+        )
+        self.meter.register_gauge(
+            "buckthorn_link_rate", lambda: schedule.link.rate
+        )
+        self.meter.register_gauge(
+            "buckthorn_region_rate", lambda: schedule.region.rate
+        )
         self.meter.register_gauge("buckthorn_ready", lambda: int(self.ready))
         self.meter.register_gauge(
             "buckthorn_upstream_limit",
--- a/packages/sidecar/buckthorn_sidecar/upstream_pools.py
+++ b/packages/sidecar/buckthorn_sidecar/upstream_pools.py
@@ -158,12 +158,20 @@
         method: str,
         data: bytes,
         request_id: ids.RequestId,
+        body: bytes = b"",
     ) -> Exchange:
         """Sends a request and returns its response.
 
         If the exchange is cancelled, the connection is closed, which makes
         the upstream drop the request.
 
+        Args:
+            conn: The connection.
+            method: HTTP method.
+            data: The request in wire format, at least its head.
+            request_id: Id that the response must state.
+            body: The body, unless it is part of `data`.
+
         Raises:
             errors.RequestError: There was no complete response; the request
                 may have run.
@@ -172,7 +180,7 @@
         self._in_exchange.add(conn)
         sent_s = asyncio.get_running_loop().time()
         try:
-            conn.send(data, head_only=method == "HEAD")
+            conn.send(data, method == "HEAD", body)
             exchange, mismatched = await self._receive(conn, request_id)
             done = True
         except http1.IncompleteResponseError as exc:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -491,6 +491,12 @@
         """Limits the memory that the daemon can allocate, in bytes."""
         resource.prlimit(self._process.pid, resource.RLIMIT_DATA, (size, size))
 
+    def peak_memory_mb(self):
+        """Returns the most memory that the daemon has used, in megabytes."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        return int(fields["VmHWM"].split()[0]) / 1024
+
     def signal(self, number):
         self._process.send_signal(number)
 
