--- a/packages/core/buckthorn_core/load_balancing.py
+++ b/packages/core/buckthorn_core/load_balancing.py
@@ -92,6 +92,8 @@
         software_version: Version of the upstream's software; empty if not
             known.
         warming: Whether the upstream is still warming up.
+        link_drain_ms: Expected time until the bodies that wait on the host's
+            link are sent, in milliseconds.
     """
 
     slots: int
@@ -102,6 +104,7 @@
     notice: stated_limits.UpstreamNotice | None = None
     software_version: str = ""
     warming: bool = False
+    link_drain_ms: int = 0
 
 
 class UpstreamStatus:
