--- a/packages/core/buckthorn_core/cap_borrowing.py
+++ b/packages/core/buckthorn_core/cap_borrowing.py
@@ -403,7 +403,7 @@
             wallet = self._wallets.pop(name)
             released += [ticket for ticket, _ in wallet.waiting]
         for name, cap in caps.items():
-            shards = cap_shards.shards_of(name, cap, self._terms.max_shards)
+            shards = cap_shards.shards_of(name, cap, self._terms)
             known = self._wallets.get(name)
             if known is None:
                 self._wallets[name] = _Wallet(
--- a/packages/core/buckthorn_core/cap_holders.py
+++ b/packages/core/buckthorn_core/cap_holders.py
@@ -78,6 +78,7 @@
             self._level = max(0.0, self._level - count)
             self._lent[grant] = (now_s, count)
             self._lent_count += count
+            self._promised_s = -math.inf
         next_s = 0.0
         if count < want:
             next_s = self._hint_s(now_s)
@@ -267,7 +268,7 @@
     def _shards_of(
         self, name: ids.WorkspaceName, cap: cap_shards.Cap
     ) -> list[int]:
-        return cap_shards.shards_of(name, cap, self._terms.max_shards)
+        return cap_shards.shards_of(name, cap, self._terms)
 
     def _part(
         self, shard: int, name: ids.WorkspaceName
@@ -295,7 +296,7 @@
         shards = self._shards_of(name, cap)
         if shard not in shards:
             return None
-        return cap_shards.part_of(cap, len(shards), self._terms.reserve_s)
+        return cap_shards.part_of(cap, len(shards), self._terms)
 
     def update(
         self,
--- a/packages/core/buckthorn_core/cap_shards.py
+++ b/packages/core/buckthorn_core/cap_shards.py
@@ -44,9 +44,11 @@
 REWRITE_S = 4.0
 # Candidates of a shard in its zone, in the next one, and in the next region.
 CANDIDATES = (4, 2, 2)
-# Least part of a shard, in tokens per second; smaller rate limits use fewer
-# shards.
+# Least part of a shard, in tokens per second, and least bucket, in tokens;
+# smaller rate limits use fewer shards. With smaller buckets, requests at 0.6 of
+# the rate limit are refused, as the tokens are in other shards.
 MIN_PART_PER_S = 2.0
+MIN_BUCKET = 2.0
 # Epochs in which a log has not been restored yet: logs count from 0 or 1.
 FIRST_EPOCHS = frozenset((ids.LogEpoch(0), ids.LogEpoch(1)))
 # Parts of the allowed overage that leases and the least bucket use. The rest is
@@ -54,6 +56,9 @@
 LEASE_FRACTION = 0.6
 RESERVE_FRACTION = 0.3
 MIN_LEASE_S = 0.05
+# Part of the allowed slack that buckets hold, as tokens that are spread over
+# shards are not always where they are asked for.
+EXTRA_FRACTION = 0.4
 
 
 class Terms(NamedTuple):
@@ -63,11 +68,13 @@
         lease_s: Time in which a token must be spent, in seconds.
         reserve_s: A bucket holds at least the tokens of this time, in seconds.
         max_shards: Most shards of a workspace, as each holds at least a token.
+        extra: Tokens that all buckets of a workspace hold beyond its burst.
     """
 
     lease_s: float
     reserve_s: float
     max_shards: int
+    extra: float
 
     @property
     def hold_s(self) -> float:
@@ -92,6 +99,7 @@
         max(MIN_LEASE_S, LEASE_FRACTION * spare_s),
         RESERVE_FRACTION * spare_s,
         max(1, min(SHARDS, int(slack / 2))),
+        EXTRA_FRACTION * slack,
     )
 
 
@@ -130,32 +138,37 @@
     }
 
 
+def _capacity(cap: Cap, lending: Terms) -> float:
+    """Returns the capacity of all buckets of a rate limit."""
+    return max(cap.burst + lending.extra, cap.rate_per_s * lending.reserve_s)
+
+
 def shards_of(
-    workspace: ids.WorkspaceName, cap: Cap, max_shards: int = SHARDS
+    workspace: ids.WorkspaceName, cap: Cap, lending: Terms
 ) -> list[int]:
     """Returns the shards among which a rate limit is divided.
 
     Numbers of shards are powers of two, so that few changes of a rate limit
     change them. Neighbouring shards are in different regions.
     """
-    count = 1
+    capacity, count = _capacity(cap, lending), 1
     while (
-        count * 2 <= min(SHARDS, max_shards)
+        count * 2 <= lending.max_shards
         and cap.rate_per_s >= MIN_PART_PER_S * count * 2
+        and capacity >= MIN_BUCKET * count * 2
     ):
         count *= 2
     first = roles.score(KEY_PREFIX, ids.DaemonId(workspace)) % SHARDS
     return [(first + n) % SHARDS for n in range(count)]
 
 
-def part_of(cap: Cap, shards: int, reserve_s: float) -> Part:
+def part_of(cap: Cap, shards: int, lending: Terms) -> Part:
     """Returns the part of one of several shards of a rate limit.
 
     A bucket holds at least one whole token.
     """
-    rate_per_s = cap.rate_per_s / shards
     return Part(
-        rate_per_s, max(1.0, cap.burst / shards, rate_per_s * reserve_s)
+        cap.rate_per_s / shards, max(1.0, _capacity(cap, lending) / shards)
     )
 
 
--- a/packages/sidecar/buckthorn_sidecar/caps.py
+++ b/packages/sidecar/buckthorn_sidecar/caps.py
@@ -104,11 +104,26 @@
         self._task: asyncio.Task[None] | None = None
         pool.on_token_reply = self._on_reply
         server.on_token_request = self._on_request
-        meter.register_gauge("buckthorn_cap_shards", self._lending_shards)
+        meter.register_gauge(
+            "buckthorn_cap_shards", lambda: len(self.lending_shards)
+        )
         meter.register_gauge(
             "buckthorn_cap_old_members", lambda: self._old_members
         )
 
+    @property
+    def lending_shards(self) -> list[int]:
+        """The shards that this daemon lends from."""
+        if self._holders is None:
+            return []
+        now_s = self._now_s()
+        return [
+            shard
+            for shard in self._holders.shards
+            if self._holders.state(shard, now_s)
+            is cap_holders.ShardState.LENDING
+        ]
+
     def start(self) -> None:
         """Starts following the records of shards."""
         now_s = asyncio.get_running_loop().time()
@@ -456,12 +471,3 @@
             else:
                 _logger.info("caps_guaranteed")
         self._old_members = old
-
-    def _lending_shards(self) -> int:
-        if self._holders is None:
-            return 0
-        now_s = self._now_s()
-        return sum(
-            self._holders.state(shard, now_s) is cap_holders.ShardState.LENDING
-            for shard in self._holders.shards
-        )
