--- a/tests/sidecar/test_caps.py
+++ b/tests/sidecar/test_caps.py
@@ -165,6 +165,7 @@
     st.tuples(st.just("kill"), st.integers(0, 6), st.floats(0.3, 30)),
     st.tuples(st.just("cut"), st.integers(0, 6), st.floats(0.5, 25)),
     st.tuples(st.just("cut_log"), st.integers(0, 6), st.floats(0.5, 30)),
+    st.tuples(st.just("isolate"), st.integers(0, 6), st.floats(5, 25)),
     st.tuples(st.just("split"), st.integers(0, 1), st.floats(0.5, 25)),
     st.tuples(st.just("log_down"), st.just(0), st.floats(0.5, 20)),
     st.tuples(st.just("restore"), st.integers(0, 20), st.just(0.0)),
@@ -208,7 +209,9 @@
             mesh.kill(daemon)
             await asyncio.sleep(seconds)
             mesh.start(daemon)
-        elif kind in ("cut", "split"):
+        elif kind in ("cut", "split", "isolate"):
+            if kind == "isolate":
+                mesh.cuts.add((daemon, "log"))
             sides = [d for d in daemons if self._is_beside(kind, d, which)]
             mesh.cuts |= {
                 tuple(sorted((a, b)))
@@ -266,6 +269,26 @@
     not_run=st.sampled_from([0.0, 0.3]),
     seed=st.integers(0, 2**16),
 )
+@hypothesis.example(
+    faults=[(0.0, ("isolate", n, 24.0)) for n in range(3)],
+    cap=(80.0, 10.0),
+    loss=0.0,
+    late_appends=0.0,
+    not_run=0.0,
+    seed=1,
+)
+@hypothesis.example(
+    faults=[
+        (0.0, ("isolate", 0, 24.0)),
+        (0.0, ("isolate", 1, 24.0)),
+        (1.0, ("restore", 20, 0.0)),
+    ],
+    cap=(80.0, 10.0),
+    loss=0.0,
+    late_appends=0.0,
+    not_run=0.0,
+    seed=2,
+)
 def test_no_window_exceeds_the_bound(
     faults, cap, loss, late_appends, not_run, seed
 ):
