--- a/packages/core/buckthorn_core/trial_verdicts.py
+++ b/packages/core/buckthorn_core/trial_verdicts.py
@@ -60,11 +60,12 @@
 MIN_ROUTE_ANSWERS = 20
 # One more instance is left out for each so many instances with evidence.
 INSTANCES_PER_LEFT_OUT = 10
-# Upper bounds of durations grow by this factor from 1 ms on.
-BUCKET_FACTOR = 1.25
+# Upper bounds of durations grow by this factor from 1 ms on; SLOW_FACTOR is
+# three steps. Finer steps make reports larger.
+BUCKET_FACTOR = 3 ** (1 / 3)
 # Bucket of answers whose duration tells nothing, as the instance warms up.
 UNTIMED = -1
-MAX_BUCKET = 60
+MAX_BUCKET = 40
 # Log likelihood ratio beyond which a higher one makes no difference.
 MAX_ODDS_LOG = 50.0
 # Slices of time that are kept; the oldest ones are joined.
@@ -160,12 +161,16 @@
         """Raises the counts to newer ones; returns the increase."""
         increase = Counts()
         for route, tally in newer.old.items():
-            increase.old[route] = self.old_tally(route).take_increase(tally)
+            known = self.old_tally(route)
+            if known != tally:
+                increase.old[route] = known.take_increase(tally)
         for route, by_daemon in newer.new.items():
-            increase.new[route] = {
-                daemon: self.new_tally(route, daemon).take_increase(tally)
-                for daemon, tally in by_daemon.items()
-            }
+            for daemon, tally in by_daemon.items():
+                known = self.new_tally(route, daemon)
+                if known != tally:
+                    increase.new.setdefault(route, {})[daemon] = (
+                        known.take_increase(tally)
+                    )
         return increase
 
 
@@ -444,10 +449,10 @@
 
 def slow_bucket(old: Tally) -> int:
     """Returns the last bucket of answers that aren't slow."""
-    factor_buckets = math.log(SLOW_FACTOR) / math.log(BUCKET_FACTOR)
+    factor_buckets = round(math.log(SLOW_FACTOR) / math.log(BUCKET_FACTOR))
     return max(
         _quantile_bucket(old, SLOW_QUANTILE),
-        _quantile_bucket(old, 0.5) + math.ceil(factor_buckets),
+        _quantile_bucket(old, 0.5) + factor_buckets,
     )
 
 
--- a/packages/core/buckthorn_core/version_trials.py
+++ b/packages/core/buckthorn_core/version_trials.py
@@ -46,10 +46,13 @@
 # The same if the evidence is thin.
 LATEST_SHIFT_BEFORE_END_S = 2.2
 # When the result is written, whether or not all requests on old instances have
-# ended; in seconds before the end.
+# ended; in seconds before the end, and after a shift that began late.
 RESULT_BEFORE_END_S = 0.5
-# How long a version is observed before it counts as good, in seconds.
+RESULT_AFTER_SHIFT_S = 2.0
+# How long a version is observed before it counts as good, and before it gets
+# the traffic without that, in seconds.
 MIN_OBSERVED_S = 3.0
+MIN_THIN_OBSERVED_S = 1.5
 # The new version's requests go to a few of its instances at a time, so that
 # these are loaded as they would be after the trial. They change at this
 # interval, in seconds.
@@ -385,18 +388,22 @@
         self._allot_shares()
         age_s, end_s = self.age_s(now_s), self.order.duration_s
         shift_s = min(SHIFT_FRACTION * end_s, end_s - SHIFT_BEFORE_END_S)
-        if age_s >= end_s - LATEST_SHIFT_BEFORE_END_S:
+        observed_s = self._observed_for_s(now_s)
+        if not available:
+            if age_s >= end_s - RESULT_BEFORE_END_S:
+                self.advance(Phase.ROLLED_BACK, now_s, "no instances")
+        elif (
+            age_s >= end_s - LATEST_SHIFT_BEFORE_END_S
+            and observed_s >= MIN_THIN_OBSERVED_S
+        ):
             if verdict.judgement is trial_verdicts.Judgement.SUSPECT:
                 reason = f"{verdict.reason} {verdict.odds_log:.1f}"
                 self.advance(Phase.ROLLED_BACK, now_s, reason)
-            elif not available:
-                self.advance(Phase.ROLLED_BACK, now_s, "no instances")
             else:
                 self.advance(Phase.SHIFTING, now_s)
         elif (
             age_s >= shift_s
-            and self._observed_for_s(now_s) >= MIN_OBSERVED_S
-            and available
+            and observed_s >= MIN_OBSERVED_S
             and verdict.judgement is trial_verdicts.Judgement.GOOD
         ):
             self.advance(Phase.SHIFTING, now_s)
@@ -435,8 +442,9 @@
         age_s = self.age_s(now_s)
         if age_s < self._shift_at_s + STAGE_S + SETTLE_S:
             return False
-        return all_moved or (
-            age_s >= self.order.duration_s - RESULT_BEFORE_END_S
+        return all_moved or age_s >= max(
+            self.order.duration_s - RESULT_BEFORE_END_S,
+            self._shift_at_s + RESULT_AFTER_SHIFT_S,
         )
 
     def _observed_for_s(self, now_s: float) -> float:
--- a/packages/sidecar/buckthorn_sidecar/trials.py
+++ b/packages/sidecar/buckthorn_sidecar/trials.py
@@ -33,15 +33,23 @@
 CHECK_INTERVAL_S = 0.1
 # Length of a slice of evidence, in seconds.
 SLICE_S = 0.3
-# Longest time between reports with new counts, in seconds and as a fraction of
-# the time allowed for a rollback; during the shift; and without new counts.
+# Longest time between reports with new counts of the new version, in seconds
+# and as a fraction of the time allowed for a rollback; during the shift; and
+# without new counts.
 REPORT_INTERVAL_S = 0.3
 REPORT_FRACTION = 0.1
 SHIFT_REPORT_INTERVAL_S = 0.2
 IDLE_REPORT_INTERVAL_S = 1.0
+# Time between reports of the old version's counts, in seconds. They are the
+# larger part of a report and change with each request.
+OLD_REPORT_INTERVAL_S = 0.9
 # Age of a report from which on its daemon isn't waited for, in seconds. A
 # daemon that can't reach the driver can't hold up the others.
 REPORT_LIFETIME_S = 1.5
+# How long a driver waits for reports before it knows whether all daemons have
+# moved their traffic, in seconds: they notice that the last one is gone, and
+# report to the next.
+DRIVER_SETTLE_S = 1.2
 # Pause after a failed call of the log, in seconds.
 LOG_RETRY_S = 0.5
 # Daemons that learn of no result for this long read it themselves, in seconds.
@@ -95,7 +103,7 @@
         self.trial = trial
         self.drivers = version_trials.Drivers()
         self.reports: dict[str, _Received] = {}
-        self.was_driver = False
+        self.driver_since_s: float | None = None
         self.task: asyncio.Task[None] | None = None
         self.sending: asyncio.Task[None] | None = None
         self.started_s = now_s
@@ -105,10 +113,14 @@
         self.in_force: version_trials.Result | None = None
         self.log_end: ids.Offset | None = None
         self.reported_s = -math.inf
-        self.reported_answers = -1
+        # What the last report said of the new version.
+        self.reported: tuple[int, trial_verdicts.Counts] | None = None
         self.reported_to: ids.DaemonId | None = None
         self._slice_s = now_s
+        self._verdict = trial_verdicts.Verdict(trial_verdicts.Judgement.OPEN)
         self._source = source
+        # When the old version's counts were last reported.
+        self._old_reported_s = -math.inf
 
     @property
     def is_settled(self) -> bool:
@@ -133,16 +145,20 @@
             pending: This daemon's requests in flight on them.
             now_s: Monotonic time in seconds.
         """
+        if now_s - self._slice_s < SLICE_S - CHECK_INTERVAL_S / 2:
+            return self._verdict
+        self._slice_s = now_s
         evidence = self.trial.evidence
         evidence.merge(self._source, self.trial.counts, pending)
-        verdict = self.trial.judge(instances, now_s)
-        if now_s - self._slice_s >= SLICE_S:
-            self._slice_s = now_s
-            evidence.end_slice()
-        return verdict
+        self._verdict = self.trial.judge(instances, now_s)
+        evidence.end_slice()
+        return self._verdict
 
     def all_moved(self, now_s: float) -> bool:
         """Whether no daemon that reports has requests on old instances."""
+        since_s = self.driver_since_s
+        if since_s is None or now_s - since_s < DRIVER_SETTLE_S:
+            return False
         fresh = [
             r.report
             for r in self.reports.values()
@@ -153,18 +169,24 @@
         )
 
     def report(
-        self, pending: trial_verdicts.Counts, now_s: float
+        self, pending: trial_verdicts.Counts, now_s: float, is_first: bool
     ) -> version_trials.Report:
         """Returns this daemon's report.
 
         Args:
             pending: Its requests in flight on new instances.
             now_s: Monotonic time in seconds.
+            is_first: Whether it is the first one to the driver.
         """
+        counts = self.trial.counts
+        if is_first or now_s - self._old_reported_s > OLD_REPORT_INTERVAL_S:
+            self._old_reported_s = now_s
+        else:
+            counts = trial_verdicts.Counts({}, counts.new)
         return version_trials.Report(
             self.trial.status(now_s),
             self._source,
-            self.trial.counts,
+            counts,
             self.trial.on_old,
             self.trial.is_moved(now_s),
             pending,
@@ -457,8 +479,11 @@
                 "buckthorn_trial_check", time.perf_counter() - started_s
             )
         if is_driver:
-            if not runner.was_driver:
+            if runner.driver_since_s is None:
+                runner.driver_since_s = now_s
                 _logger.info("trial_driver", service=service)
+                # Daemons that have not read the order yet learn of it.
+                self._broadcast(trial, now_s)
             self._drive(runner, now_s)
         elif driver is not None:
             self._report_if_due(runner, driver, now_s)
@@ -467,7 +492,8 @@
             and now_s - runner.started_s > READ_AFTER_S
         ):
             self._start_log_task(runner, self._read_result, now_s)
-        runner.was_driver = is_driver
+        if not is_driver:
+            runner.driver_since_s = None
 
     def _broadcast(self, trial: version_trials.Trial, now_s: float) -> None:
         """Tells all daemons that are connected to this one."""
@@ -480,12 +506,13 @@
         self, runner: Runner, driver: ids.DaemonId, now_s: float
     ) -> None:
         trial = runner.trial
-        answers = trial.counts.answers
+        pending = self._routing.pending(trial, now_s)
+        news = (trial.counts.new_answers, pending)
         interval_s = IDLE_REPORT_INTERVAL_S
         if trial.phase is version_trials.Phase.SHIFTING:
             interval_s = SHIFT_REPORT_INTERVAL_S
         elif (
-            answers != runner.reported_answers
+            news != runner.reported
             or trial.phase is version_trials.Phase.UNKNOWN
         ):
             interval_s = self._report_interval_s
@@ -498,17 +525,16 @@
         if registration is None:
             return
         runner.reported_s = now_s
+        is_first = driver != runner.reported_to
         runner.reported_to = driver
-        runner.reported_answers = answers
+        runner.reported = news
         link = self._link_pool.get_or_create(registration)
         # A connection that has gone silent is replaced.
         link.close_if_dead(now_s)
         runner.drivers.on_sent(driver, now_s)
         self._meter.count("buckthorn_trial_reports")
-        pending = self._routing.pending(trial, now_s)
-        runner.sending = asyncio.create_task(
-            self._send(runner, link, runner.report(pending, now_s))
-        )
+        report = runner.report(pending, now_s, is_first)
+        runner.sending = asyncio.create_task(self._send(runner, link, report))
 
     async def _send(
         self,
