Test held outcomes, long bodies to upstreams and returned memory

Writing a long body to an upstream stops when the connection has closed: each further write to it would log a warning.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -550,7 +550,11 @@
         self._write_body()
 
     def _write_body(self) -> None:
-        while self._unsent and not self._writing_paused:
+        while (
+            self._unsent
+            and not self._writing_paused
+            and not self._transport.is_closing()
+        ):
             piece = self._unsent[:WRITE_BYTES]
             self._unsent = self._unsent[WRITE_BYTES:]
             self._transport.write(piece)
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -325,3 +325,57 @@
                 await _exchange(head[:end])
 
     asyncio.run(run())
+
+
+def test_a_long_body_is_sent_as_the_peer_reads_it():
+    """Guards against a second copy of a long body in the write buffer."""
+    body = bytes(range(256)) * 40_000
+
+    async def run():
+        may_read = asyncio.Event()
+        received = []
+
+        async def serve(reader, writer):
+            await may_read.wait()
+            await reader.readuntil(b"\r\n\r\n")
+            received.append(await reader.readexactly(len(body)))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        conn = await http1.connect(address, 1.0, 1_000)
+        head = http1.encode_request_head("PUT", "/", [], len(body))
+        conn.send(head, body=body)
+        buffered = conn._transport.get_write_buffer_size()
+        assert buffered <= 2 * http1.WRITE_BYTES
+        assert not conn.all_sent
+        may_read.set()
+        assert (await conn.receive()).body == b"a"
+        assert received == [body]
+        assert conn.all_sent
+        conn.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_a_closed_connection_sends_no_more_of_a_body():
+    """Guards against writes to a connection that the peer has reset."""
+
+    async def run():
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.transport.abort(), "127.0.0.1", 0
+        )
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        conn = await http1.connect(address, 1.0, 1_000)
+        conn.send(b"PUT / HTTP/1.1\r\n\r\n", body=bytes(10_000_000))
+        with pytest.raises(http1.IncompleteResponseError):
+            await conn.receive()
+        conn.close()
+        conn.resume_writing()
+        assert not conn._unsent
+        server.close()
+
+    asyncio.run(run())
--- a/tests/core/test_attempt_outcomes.py
+++ b/tests/core/test_attempt_outcomes.py
@@ -83,6 +83,19 @@
             )
 
 
+def test_an_outcome_dropped_for_its_memory_may_have_run():
+    """Guards against the reply "not run" after a long response was dropped."""
+    outcomes = attempt_outcomes.AttemptOutcomes()
+    outcomes.begin(attempt(3), "response")
+    assert not outcomes.drop(attempt(3))
+    outcomes.end(attempt(3), 0.0)
+    assert outcomes.drop(attempt(3))
+    assert not outcomes.drop(attempt(3))
+    assert outcomes.get(attempt(3)) is None
+    assert outcomes.may_have_dropped(attempt(3))
+    assert not outcomes.may_have_dropped(attempt(4))
+
+
 @pytest.mark.parametrize("text", ["", "x", "d/1/x"])
 def test_an_id_without_a_number_raises_no_error(text):
     """Guards against an exception for ids of another format."""
--- a/tests/core/test_byte_budgets.py
+++ b/tests/core/test_byte_budgets.py
@@ -71,3 +71,17 @@
     for holder in (*holders, *complete):
         budget.release(holder)
     assert budget.used == 0
+
+
+def test_held_bytes_take_room_until_they_are_released():
+    """Guards against bodies of other daemons that count for nothing."""
+    budget = byte_budgets.ByteBudget(1_000)
+    holder = object()
+    assert budget.has_room(1_000)
+    budget.hold(holder, 600)
+    budget.hold(holder, 300)
+    assert budget.has_room(100)
+    assert not budget.has_room(101)
+    assert budget.add(Message(), 50) == []
+    budget.release(holder)
+    assert budget.used == 50
