--- a/packages/core/buckthorn_core/cap_borrowing.py
+++ b/packages/core/buckthorn_core/cap_borrowing.py
@@ -31,6 +31,9 @@
 BLOCKED_S = 0.5
 # Shortest time between two requests to a shard that lacked tokens, in seconds.
 MIN_REPEAT_S = 0.06
+# The same for one in another region that lent nothing: its own region uses the
+# tokens up, and each question crosses the link between regions.
+FAR_REPEAT_S = 0.5
 # Unspent tokens are returned this long before they expire, in seconds.
 RETURN_S = 0.12
 # Bounds of Retry-After, in seconds, and its value if no holder is known.
@@ -166,9 +169,11 @@
             or self.blocked_until_s.get(shard, -math.inf) > now_s
         )
 
+    def is_far(self, shard: int) -> bool:
+        return self.distances.get(shard) is Distance.FAR
+
     def slow_s(self, shard: int) -> float:
-        far = self.distances.get(shard) is Distance.FAR
-        return SLOW_FAR_S if far else SLOW_S
+        return SLOW_FAR_S if self.is_far(shard) else SLOW_S
 
 
 class _Wallet:
@@ -241,7 +246,10 @@
             if grant.next_s is None:
                 source.empty_until_s = now_s + BLOCKED_S
             elif grant.tokens < source.asked:
-                source.empty_until_s = now_s + max(MIN_REPEAT_S, grant.next_s)
+                repeat_s = MIN_REPEAT_S
+                if not grant.tokens and self._routes.is_far(shard):
+                    repeat_s = FAR_REPEAT_S
+                source.empty_until_s = now_s + max(repeat_s, grant.next_s)
             source.asked = 0
         self.put(shard, grant.grant, grant.tokens, expires_s, now_s)
 
