--- a/packages/sidecar/buckthorn_sidecar/links.py
+++ b/packages/sidecar/buckthorn_sidecar/links.py
@@ -308,6 +308,7 @@
         pending: Requests in flight, by attempt id.
         boot_id: Boot id of the process that got the last request.
         on_trials: Called with what the other daemon states of trials.
+        on_token_reply: Called with each reply about tokens.
     """
 
     def __init__(
@@ -318,7 +319,6 @@
         on_feed_frame: FeedFrameCallback,
         known_suspicions: suspicions.Suspicions,
         health_path: HealthPathLookup,
-        on_token_reply: TokenReplyCallback = lambda daemon, frame: None,
         bodies: body_pieces.HostBodies | None = None,
     ):
         self.peer = peer
@@ -328,12 +328,12 @@
         self._on_report = on_report
         self._on_unresponsive = on_unresponsive
         self._on_feed_frame = on_feed_frame
-        self._on_token_reply = on_token_reply
         self._conn: FrameConnection | None = None
         self._connecting: asyncio.Task[FrameConnection] | None = None
         self._last_ping_s = 0.0
         self.boot_id = ""
         self.on_trials: TrialsCallback = lambda daemon, statuses: None
+        self.on_token_reply: TokenReplyCallback = lambda daemon, frame: None
         self.pending: dict[str, PendingRequest] = {}
 
     @property
@@ -486,6 +486,10 @@
                 self._on_report(self.peer, frame)
             if _is_head(frame):
                 return
+        self._dispatch(frame)
+
+    def _dispatch(self, frame: frames.Frame) -> None:
+        """Passes a frame on to those that wait for its content."""
         if isinstance(frame, frames.Hello | frames.Pong):
             self._suspicions.merge(frame.suspicions)
         if isinstance(frame, frames.Pong) and frame.trials:
@@ -497,7 +501,7 @@
             if pending_request is not None and not pending_request.fut.done():
                 pending_request.fut.set_result(frame)
         elif isinstance(frame, frames.TokenReply):
-            self._on_token_reply(self.peer.daemon, frame)
+            self.on_token_reply(self.peer.daemon, frame)
 
     def _on_end(self, conn: FrameConnection, reason: str) -> None:
         if conn is not self._conn:
@@ -642,10 +646,10 @@
                 self._on_feed_frame,
                 self._suspicions,
                 self._health_path,
-                self._on_token_reply,
                 self._bodies,
             )
             link.on_trials = self._on_trials
+            link.on_token_reply = self._on_token_reply
             self._links[registration.daemon] = link
         return link
 
