Judge trials by what is under way, and singly by stricter tests

Besides, each daemon judged its own few answers by tests whose false alarms add up over daemons.

Requests sent before the traffic moved keep counting as slow.

Tests in tests/core, tests/sidecar, tests/docs and tests/platform/test_rollouts.py pass.

--- a/packages/core/buckthorn_core/version_trials.py
+++ b/packages/core/buckthorn_core/version_trials.py
@@ -347,15 +347,15 @@
         key = f"trial/{self.order.target}/{index}"
         return roles.ranked(key, candidates, count)
 
-    def judge(self, instances: int, now_s: float) -> trial_verdicts.Verdict:
+    def judge(
+        self, instances: int, now_s: float, is_driver: bool = True
+    ) -> trial_verdicts.Verdict:
         """Judges the version and rolls it back if it is bad.
 
-        Slow answers don't count once all traffic is on the new version, as
-        there is nothing to compare them with under the same load.
-
         Args:
             instances: Number of instances of the new version.
             now_s: Monotonic time in seconds.
+            is_driver: Whether this daemon gets the counts of the others.
         """
         if instances and self._observed_s is None:
             self._observed_s = now_s
@@ -363,9 +363,13 @@
         if instances == 1 and self._observed_for_s(now_s) < MIN_OBSERVED_S:
             # Others may follow; one alone may fail for ordinary reasons.
             return trial_verdicts.Verdict(trial_verdicts.Judgement.OPEN)
-        verdict = self.evidence.verdict(instances, not self.is_moved(now_s))
+        verdict = self.evidence.verdict(instances, is_driver)
         is_bad = verdict.judgement is trial_verdicts.Judgement.BAD
-        if self.phase is Phase.SHIFTING and not self.is_moved(now_s):
+        if (
+            is_driver
+            and self.phase is Phase.SHIFTING
+            and not self.is_moved(now_s)
+        ):
             # The new version gets more requests than a bad one may.
             is_bad |= verdict.judgement is trial_verdicts.Judgement.SUSPECT
         if is_bad and self.phase in (Phase.CANARY, Phase.SHIFTING):
--- a/packages/sidecar/buckthorn_sidecar/trial_routing.py
+++ b/packages/sidecar/buckthorn_sidecar/trial_routing.py
@@ -37,6 +37,8 @@
         route: Name of the request's route.
         to: The daemon that the attempt was sent to.
         started_s: When it was sent, in seconds.
+        timed: Whether its duration counts. Once all traffic is on the new
+            version, there is nothing to compare it with under the same load.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self._version = version
         self._is_new = version == trial.order.target
         self.started_s = asyncio.get_running_loop().time()
+        self.timed = not trial.is_moved(self.started_s)
         if self._is_new:
             trial.spend(route.name, 1)
         else:
@@ -90,11 +93,11 @@
         if result is None and seconds < self._target_s:
             # The caller has left early, which tells nothing.
             return
-        version, warming = self._version, False
+        version, timed = self._version, self.timed
         if result is not None:
             # The upstream may have been replaced since the last report.
             version = result.load.software_version or version
-            warming = result.load.warming
+            timed &= not result.load.warming
         is_new = version == trial.order.target
         if is_new and not self._is_new:
             trial.spend(name, 1)
@@ -106,12 +109,12 @@
             if is_new
             else counts.old_tally(name)
         )
-        tally.add(_tally(result, warming, seconds))
+        tally.add(_tally(result, timed, seconds))
 
 
 def _tally(
     result: frames.Response | frames.Failure | None,
-    warming: bool,
+    timed: bool,
     seconds: float,
 ) -> trial_verdicts.Tally:
     """Returns the counts of one answer."""
@@ -120,7 +123,7 @@
     ):
         return trial_verdicts.Tally(1)
     bucket = trial_verdicts.UNTIMED
-    if not warming:
+    if timed:
         bucket = trial_verdicts.bucket_of(seconds)
     return trial_verdicts.Tally(0, {bucket: 1})
 
@@ -269,7 +272,9 @@
         counts = trial_verdicts.Counts()
         for observation in self._on_new:
             load = self._load_balancer.status_of(observation.to).load
-            if observation.trial is not trial or load.warming:
+            if observation.trial is not trial or not observation.timed:
+                continue
+            if load.warming:
                 continue
             tally = counts.new_tally(observation.route, observation.to.daemon)
             bucket = trial_verdicts.bucket_of(now_s - observation.started_s)
--- a/packages/sidecar/buckthorn_sidecar/trials.py
+++ b/packages/sidecar/buckthorn_sidecar/trials.py
@@ -136,7 +136,11 @@
         return in_force is None or in_force.target != self.trial.order.target
 
     def judge(
-        self, instances: int, pending: trial_verdicts.Counts, now_s: float
+        self,
+        instances: int,
+        pending: trial_verdicts.Counts,
+        now_s: float,
+        is_driver: bool,
     ) -> trial_verdicts.Verdict:
         """Judges the version by all known counts.
 
@@ -144,13 +148,14 @@
             instances: Number of its instances.
             pending: This daemon's requests in flight on them.
             now_s: Monotonic time in seconds.
+            is_driver: Whether this daemon drives the trial.
         """
         if now_s - self._slice_s < SLICE_S - CHECK_INTERVAL_S / 2:
             return self._verdict
         self._slice_s = now_s
         evidence = self.trial.evidence
         evidence.merge(self._source, self.trial.counts, pending)
-        self._verdict = self.trial.judge(instances, now_s)
+        self._verdict = self.trial.judge(instances, now_s, is_driver)
         evidence.end_slice()
         return self._verdict
 
@@ -468,7 +473,7 @@
             def decide() -> None:
                 nonlocal verdict
                 pending = self._routing.pending(trial, now_s)
-                verdict = runner.judge(len(new), pending, now_s)
+                verdict = runner.judge(len(new), pending, now_s, is_driver)
                 if is_driver:
                     usable = sum(self._routing.is_routable(r) for r in new)
                     trial.drive(verdict, usable, now_s)
--- a/tests/core/test_trial_verdicts.py
+++ b/tests/core/test_trial_verdicts.py
@@ -168,3 +168,18 @@
                 false_alarms += 1
                 break
     assert false_alarms <= 1
+
+
+def test_a_daemon_alone_needs_more_evidence():
+    """Guards against false alarms of many daemons, which would add up."""
+    counts = old_counts()
+    for number in range(4):
+        add_new(counts, f"n-{number}", 0, 2)
+    evidence = trial_verdicts.Evidence()
+    evidence.merge("d", counts)
+    assert evidence.verdict(5).judgement is Judgement.BAD
+    assert evidence.verdict(5, False).judgement is not Judgement.BAD
+    for number in range(4):
+        add_new(counts, f"n-{number}", 0, 2)
+    evidence.merge("d", counts)
+    assert evidence.verdict(5, False).judgement is Judgement.BAD
