--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -13,6 +13,7 @@
 import os
 import pathlib
 import random
+import re
 import resource
 import signal
 import socket
@@ -443,7 +444,18 @@
 class Host:
     """A host whose daemon runs as a separate process."""
 
-    def __init__(self, folder, name, store, instance, zone="z1"):
+    def __init__(self, folder, name, store, instance, zone="z1", limits=None):
+        """Writes the host's settings file.
+
+        Args:
+            folder: Where the file and the log are written.
+            name: Name of the host.
+            store: The store.
+            instance: The host's instance.
+            zone: Availability zone of the host.
+            limits: Resources of the host as the file names them, such as
+                `memoryMb` and `maxFds`; None to leave them out.
+        """
         self.name = name
         ports = {
             listen: f"127.0.0.1:{free_port()}"
@@ -454,6 +466,7 @@
         self.file = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
         listen = "\n".join(f'{k} = "{v}"' for k, v in ports.items())
+        resources = "\n".join(f"{k} = {v}" for k, v in (limits or {}).items())
         self.file.write_text(
             f'node = "{name}"\nip = "127.0.0.1"\nzone = "{zone}"\n'
             f'region = "r1"\nservice = "{instance.service}"\n'
@@ -463,6 +476,7 @@
             ' "budgetWindow=10s", "budgetSlack=60"]\n'
             f"[listen]\n{listen}\n"
             f'[provider]\naddress = "{store.address}"\nkeep = "300s"\n'
+            f"[limits]\n{resources}\n"
         )
         self._process = None
 
@@ -491,6 +505,22 @@
         """Limits the memory that the daemon can allocate, in bytes."""
         resource.prlimit(self._process.pid, resource.RLIMIT_DATA, (size, size))
 
+    def limit_descriptors(self, number):
+        """Limits the descriptors that the daemon can open."""
+        resource.prlimit(
+            self._process.pid, resource.RLIMIT_NOFILE, (number, number)
+        )
+
+    def peak_memory(self):
+        """Returns the most memory that was resident so far, in bytes."""
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        [kilobytes] = re.findall(r"^VmHWM:\s+(\d+) kB$", status, re.M)
+        return int(kilobytes) * 1_024
+
+    def descriptors(self):
+        """Returns how many descriptors the daemon has open."""
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     def signal(self, number):
         self._process.send_signal(number)
 
