Reject response heads that are no final response

An upstream's status below 100 was taken for an interim response and ended in 504 at the deadline; 600 to 999, and 204 and 304 with a body, were passed on. They now fail the attempt: 502, or another attempt if the request is idempotent. A connection with a 304 that announces a length is not reused, since a faulty upstream may send that body late.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -29,7 +29,12 @@
 # that fill the budget end within this time.
 BODY_MEMORY_RETRY_S = 0.5
 
-_NO_BODY_STATUSES = frozenset({204, 304})
+# Statuses of HTTP responses; those below 200 are interim ones.
+MIN_STATUS = 100
+MAX_STATUS = 599
+
+_NO_CONTENT = 204
+_NO_BODY_STATUSES = frozenset({_NO_CONTENT, 304})
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -144,6 +149,13 @@
     return head if head_only or status in _NO_BODY_STATUSES else head + body
 
 
+def _announces_body(response: Response) -> bool:
+    return (
+        response.header("transfer-encoding") is not None
+        or (response.header("content-length") or "0").strip("0") != ""
+    )
+
+
 def _decode_latin1(value: bytes) -> str:
     return value.decode("latin-1")
 
@@ -372,6 +384,7 @@
         self._in_message = False
         self._in_headers = False
         self._has_pending_bytes = False
+        self._excludes_body = False
         self._last_received_s = 0.0
         self._close_reason: str | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -404,6 +417,8 @@
         self._response = Response()
         self._body_pieces = []
         self._body_bytes = 0
+        if self._excludes_body:
+            raise MalformedResponseError("status 304 with a body")
         self._in_message = True
         self._in_headers = True
 
@@ -414,12 +429,26 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Determines how the end of the response is recognised."""
+        """Checks the status and determines how the response ends.
+
+        Raises:
+            MalformedResponseError: The status is no status of HTTP, or excludes
+                the body that the headers announce.
+        """
         response = self._response
         response.status = self._parser.get_status_code()
+        if not MIN_STATUS <= response.status <= MAX_STATUS:
+            raise MalformedResponseError(f"status {response.status:03d}")
         response.headers_received_s = self._last_received_s
         response.keep_alive = self._parser.should_keep_alive()
         self._in_headers = False
+        if response.status in _NO_BODY_STATUSES and _announces_body(response):
+            if response.status == _NO_CONTENT:
+                raise MalformedResponseError("status 204 with a body")
+            # The length is that of the response to a GET without conditions. A
+            # faulty upstream sends that body, too.
+            response.keep_alive = False
+            self._excludes_body = True
         self._has_explicit_length = (
             response.header("content-length") is not None
             or response.header("transfer-encoding") is not None
@@ -470,7 +499,11 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._mark_closed(f"malformed answer: {exc}")
+            cause = exc.__context__
+            if not isinstance(cause, MalformedResponseError):
+                cause = exc
+            self._reject_body_of_bodyless()
+            self._mark_closed(f"malformed answer: {cause}")
             self.close()
             return
         overhead_bytes = self._received_bytes - self._total_body_bytes
@@ -485,6 +518,15 @@
         if not self._in_message:
             self._has_pending_bytes = False
 
+    def _reject_body_of_bodyless(self) -> None:
+        """Drops a response without a body that was followed by one."""
+        if (
+            self._completed_responses
+            and self._completed_responses[-1].status in _NO_BODY_STATUSES
+        ):
+            self._completed_responses.pop()
+            self._in_message = True
+
     def eof_received(self) -> bool:
         """Completes a response whose end is the end of the connection."""
         if (
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -325,3 +325,97 @@
                 await _exchange(head[:end])
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "first_line",
+    [
+        b"000 Nothing",
+        b"099 Low",
+        b"101 Switching Protocols",
+        b"600 High",
+        b"999 Highest",
+        b"+200 OK",
+        b"-200 OK",
+        b"2 0 0 OK",
+        b"20 OK",
+        b"2000 OK",
+        b" 200 OK",
+        b"0200 OK",
+        b"OK",
+        b"",
+    ],
+)
+def test_a_status_that_is_none_is_no_response(first_line):
+    """Guards against a status that parses and is passed on to the caller."""
+    data = b"HTTP/1.1 %b\r\nContent-Length: 2\r\n\r\nab" % first_line
+    with pytest.raises(http1.IncompleteResponseError) as caught:
+        asyncio.run(_exchange(data))
+    assert caught.value.started
+
+
+@pytest.mark.parametrize(
+    ("head", "surplus"),
+    [
+        (b"204 No Content\r\nContent-Length: 2", b""),
+        (b"204 No Content\r\nContent-Length: 2", b"ab"),
+        (b"204 No Content\r\nTransfer-Encoding: chunked", b"0\r\n\r\n"),
+        (b"204 No Content", b"ab"),
+        (b"304 Not Modified", b"ab"),
+        (b"304 Not Modified\r\nContent-Length: 2", b"ab"),
+        (
+            b"304 Not Modified\r\nContent-Length: 38",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        ),
+        (b"304 Not Modified\r\nTransfer-Encoding: chunked", b"0\r\n\r\n"),
+    ],
+)
+def test_a_status_without_a_body_has_none(head, surplus):
+    """Guards against a body that the next request gets as its response."""
+    data = b"HTTP/1.1 %b\r\n\r\n%b" % (head, surplus)
+    with pytest.raises(http1.IncompleteResponseError):
+        asyncio.run(_exchange(data))
+
+
+@pytest.mark.parametrize(
+    ("head", "status", "keep_alive"),
+    [
+        (b"204 No Content", 204, True),
+        (b"204 No Content\r\nContent-Length: 0", 204, True),
+        (b"304 Not Modified", 304, True),
+        # Bytes of the body may follow later.
+        (b"304 Not Modified\r\nContent-Length: 9", 304, False),
+        (b"200\r\nContent-Length: 0", 200, True),
+        (b"200 \r\nContent-Length: 0", 200, True),
+        (b"299 Odd\r\nContent-Length: 0", 299, True),
+        (b"599 Odd\r\nContent-Length: 0", 599, True),
+    ],
+)
+def test_valid_heads_without_a_body(head, status, keep_alive):
+    """Guards against refusing responses that are valid but unusual."""
+    data = b"HTTP/1.1 %b\r\n\r\n" % head
+    conn, [response] = asyncio.run(_exchange(data))
+    assert (response.status, response.body) == (status, b"")
+    assert response.keep_alive is keep_alive
+    del conn
+
+
+def test_a_late_body_of_a_status_without_one_reaches_no_request():
+    """Guards against reusing a connection on which a body may still come."""
+
+    async def run():
+        conn, [response] = await _exchange(
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"
+        )
+        assert response.status == 304
+        conn.data_received(b"ab")
+        assert not conn.reusable
+
+    asyncio.run(run())
+
+
+def test_interim_responses_without_a_final_one_are_no_response():
+    """Guards against taking an interim response for the final one."""
+    data = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+    with pytest.raises(http1.IncompleteResponseError):
+        asyncio.run(_exchange(data))
