Give callers one account of memory and one of connections

A crowd of callers could fill a daemon's memory with small chunks, headers, unread or pipelined responses, and take all descriptors. The byte budget now covers heads with their objects, bodies in one buffer, responses that are not written, responses kept for other daemons' queries, and connections. When it is short, incomplete requests are held, then refused as not run, then the oldest stalled connection is closed. The callers' listener stops accepting before the descriptors end and closes idle connections for others. Headers that come in two reads with a body are no longer refused with 431.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -5,11 +5,14 @@
 in memory up to a limit.
 """
 
+import array
 import asyncio
 from collections.abc import Callable
 import contextlib
+import fcntl
 import http
 import socket
+import termios
 from typing import Any
 
 import httptools
@@ -25,10 +28,17 @@
 # final responses, and chunk framing, which takes five bytes for a chunk of one.
 MAX_RESPONSE_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_PER_BODY_BYTE = 8
+# Memory of a request's objects and of each of its headers besides their text,
+# in bytes: the request, its task and its context; two strings and a tuple.
+REQUEST_BYTES = 4_096
+HEADER_BYTES = 192
 # Retry-After for a body that exceeded the memory budget. Most of the requests
 # that fill the budget end within this time.
 BODY_MEMORY_RETRY_S = 0.5
 
+# Longer bodies are written without joining them to their heads, which would
+# copy them.
+MAX_JOINED_BODY_BYTES = 65_536
 # Statuses of HTTP responses; those below 200 are interim ones.
 MIN_STATUS = 100
 MAX_STATUS = 599
@@ -134,6 +144,19 @@
     head_only: bool = False,
 ) -> bytes:
     """Returns a response in wire format."""
+    return b"".join(
+        encode_response_parts(status, headers, body, close, head_only)
+    )
+
+
+def encode_response_parts(
+    status: int,
+    headers: Headers,
+    body: bytes,
+    close: bool,
+    head_only: bool = False,
+) -> tuple[bytes, ...]:
+    """Returns a response in wire format, with a large body as its own part."""
     try:
         phrase = http.HTTPStatus(status).phrase
     except ValueError:
@@ -146,7 +169,11 @@
         lines.append("Connection: close")
     lines.append("\r\n")
     head = "\r\n".join(lines).encode("latin-1")
-    return head if head_only or status in _NO_BODY_STATUSES else head + body
+    if head_only or status in _NO_BODY_STATUSES:
+        return (head,)
+    if len(body) > MAX_JOINED_BODY_BYTES:
+        return (head, body)
+    return (head + body,)
 
 
 def _announces_body(response: Response) -> bool:
@@ -169,6 +196,23 @@
                 sock.setsockopt(level, option, value)
 
 
+def unacknowledged_bytes(transport: Any) -> int:
+    """Returns how many bytes the system holds that the peer has not received.
+
+    A socket becomes writable only when a third of its buffer is free, so the
+    writes show the progress of a slow reader late.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except (OSError, ValueError):
+        return 0
+    return count[0]
+
+
 class _RequestParserCallbacks:
     """Adapts httptools callbacks to a `RequestParser`."""
 
@@ -233,9 +277,13 @@
             _RequestParserCallbacks(self)
         )
         self._req = Request()
-        self._body_pieces: list[bytes] = []
+        # One buffer, since an object for each chunk of a byte would take 50.
+        self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
+        # Received bytes of a head that has begun earlier.
+        self._head_bytes = 0
+        self._uncounted_bytes = 0
         self.url = b""
         self.in_message = False
         self.in_headers = False
@@ -251,8 +299,7 @@
         Raises:
             errors.RequestError: The request is malformed or exceeds a limit.
         """
-        if self.in_headers or not self.in_message:
-            self._header_bytes += len(data)
+        in_headers = self.in_headers
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -266,15 +313,41 @@
             raise errors.RequestError(
                 errors.Code.BAD_REQUEST, f"malformed request: {exc}"
             ) from exc
-        if self.in_headers and self._header_bytes > self.max_header_bytes:
-            raise _headers_too_large_error(self.max_header_bytes)
+        if self.in_headers and in_headers:
+            self._head_bytes += len(data)
+            if self._head_bytes > self.max_header_bytes:
+                raise _headers_too_large_error(self.max_header_bytes)
+        if self._uncounted_bytes:
+            self._count_bytes()
+
+    def _count_bytes(self) -> None:
+        """Counts what the request takes; aborts what exceeds the budget.
+
+        Raises:
+            errors.RequestError: This request has to be dropped.
+        """
+        size, self._uncounted_bytes = self._uncounted_bytes, 0
+        evicted = self._body_budget.add(self, size)
+        for holder in evicted:
+            if holder is not self:
+                holder.abort_body()
+        if self in evicted:
+            self._drop()
+            raise _bodies_full_error()
+
+    def _drop(self) -> None:
+        self._body = bytearray()
+        self._req = Request()
+        self._uncounted_bytes = 0
 
     def on_message_begin(self) -> None:
         """Starts a new request."""
         self._req = Request()
-        self._body_pieces = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
+        self._head_bytes = 0
+        self._uncounted_bytes += REQUEST_BYTES
         self.url = b""
         self.in_message = True
         self.in_headers = True
@@ -282,7 +355,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header to the request."""
         self._req.headers.append((_decode_latin1(name), _decode_latin1(value)))
-        self._header_bytes += len(name) + len(value) + 4
+        size = len(name) + len(value)
+        self._header_bytes += size + 4
+        self._uncounted_bytes += size + HEADER_BYTES
         if self._header_bytes > 2 * self.max_header_bytes:
             raise _headers_too_large_error(self.max_header_bytes)
 
@@ -304,31 +379,27 @@
 
     def on_body_piece(self, piece: bytes) -> None:
         """Adds a piece of the body and counts it in the budget."""
-        self._body_pieces.append(piece)
+        self._body += piece
         self._body_bytes += len(piece)
+        self._uncounted_bytes += len(piece)
         if self._body_bytes > self._body_limit_bytes:
             raise self._body_too_large_error()
-        evicted = self._body_budget.add(self, len(piece))
-        for holder in evicted:
-            if holder is not self:
-                holder.abort_body()
-        if self in evicted:
-            raise _bodies_full_error()
 
     def abort_body(self) -> None:
         """Drops the request being parsed."""
-        self._body_pieces = []
+        self._drop()
         self._on_evicted(_bodies_full_error())
 
     def close(self) -> None:
         """Frees the memory of an incomplete request."""
-        self._body_pieces = []
+        self._drop()
         self._body_budget.release(self)
 
     def on_message_complete(self) -> None:
         """Passes the complete request to `on_request`."""
-        self._req.body = b"".join(self._body_pieces)
-        self._body_pieces = []
+        self._count_bytes()
+        self._req.body = bytes(self._body)
+        self._body = bytearray()
         self.in_message = False
         self._header_bytes = 0
         self._body_budget.transfer(self, self._req)
--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -18,11 +18,21 @@
         "Records of the log that could not be read, by kind"
     ),
     "buckthorn_body_bytes": (
-        "Bytes of bodies that are held, of all requests and answers"
+        "Bytes of requests, responses and callers' connections that are held"
     ),
     "buckthorn_burn_copy_failures": (
         "Failed tries to take over the history of burn rates"
     ),
+    "buckthorn_caller_connections": "Open connections of callers",
+    "buckthorn_callers_closed": (
+        "Connections of callers that were closed as stalled or idle"
+    ),
+    "buckthorn_callers_paused": (
+        "Callers' requests whose reading was paused for want of memory"
+    ),
+    "buckthorn_callers_refused": (
+        "Callers' requests that were refused for want of memory, not run"
+    ),
     "buckthorn_catch_ups": "Versions pulled after a peer was seen to be ahead",
     "buckthorn_claim": "Duration of claims of operation keys",
     "buckthorn_claims": "Claims of operation keys, by verdict",
@@ -62,6 +72,9 @@
     "buckthorn_request_errors": (
         "Callers' requests that were refused or failed, by service and code"
     ),
+    "buckthorn_responses_dropped": (
+        "Long responses that were replaced by 502 for want of memory"
+    ),
     "buckthorn_retries": "Further tries of callers' requests, by service",
     "buckthorn_status_query_failures": ("Failed queries of the fleet's status"),
     "buckthorn_summary_failures": "Failed summaries to other regions",
--- a/packages/core/buckthorn_core/attempt_outcomes.py
+++ b/packages/core/buckthorn_core/attempt_outcomes.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import sys
 from typing import Generic
 from typing import TypeVar
 
@@ -34,11 +35,22 @@
 
 
 class AttemptOutcomes(Generic[T]):
-    """Outcomes of attempts by id; ended ones are kept for a limited time."""
+    """Outcomes of attempts by id; ended ones are kept for a limited time.
 
-    def __init__(self) -> None:
+    Attributes:
+        ended_bytes: Size of the ended outcomes, in bytes.
+    """
+
+    def __init__(self, max_bytes: int = sys.maxsize) -> None:
+        """Creates the outcomes.
+
+        Args:
+            max_bytes: Most bytes of ended outcomes; the oldest are dropped.
+        """
+        self._max_bytes = max_bytes
+        self.ended_bytes = 0
         self._running: dict[str, T] = {}
-        self._ended: collections.OrderedDict[str, tuple[float, T]] = (
+        self._ended: collections.OrderedDict[str, tuple[float, T, int]] = (
             collections.OrderedDict()
         )
         # Highest number of a dropped attempt, by sender.
@@ -59,20 +71,36 @@
         """Stores the outcome of a new attempt, usually as a future."""
         self._running[attempt] = outcome
 
-    def end(self, attempt: str, now_s: float) -> None:
-        """Marks an attempt as ended and drops outcomes that are too old."""
+    def end(self, attempt: str, now_s: float, size: int = 0) -> None:
+        """Marks an attempt as ended and drops outcomes that are too old.
+
+        Args:
+            attempt: The attempt.
+            now_s: The time, in seconds.
+            size: Size of its outcome, in bytes.
+        """
         outcome = self._running.pop(attempt, None)
         if outcome is None:
             return
-        self._ended[attempt] = (now_s, outcome)
+        self._ended[attempt] = (now_s, outcome, size)
+        self.ended_bytes += size
         while self._ended:
-            oldest, (ended_s, _) = next(iter(self._ended.items()))
+            oldest, (ended_s, _, oldest_size) = next(iter(self._ended.items()))
             is_recent = now_s - ended_s < RETENTION_S
-            if is_recent and len(self._ended) <= MAX_ENDED:
+            if (
+                is_recent
+                and len(self._ended) <= MAX_ENDED
+                and self.ended_bytes <= self._max_bytes
+            ):
                 return
             del self._ended[oldest]
+            self.ended_bytes -= oldest_size
             self._drop(oldest)
 
+    def forget(self, attempt: str) -> None:
+        """Forgets an attempt whose outcome nobody will query."""
+        self._running.pop(attempt, None)
+
     def _drop(self, attempt: str) -> None:
         sender, number = _split(attempt)
         highest = max(number, self._dropped.pop(sender, number))
--- a/packages/core/buckthorn_core/byte_budgets.py
+++ b/packages/core/buckthorn_core/byte_budgets.py
@@ -5,10 +5,14 @@
 the largest incomplete body is evicted, so that messages of usual size proceed
 beside an endless one.
 
+The same budget covers what callers' connections hold besides: heads, requests
+that run, responses that wait for slow readers, and the connections themselves.
+
 An example is an instance on a host of 200 MB that answers on each of its slots
 with an endless body, while other requests are served.
 """
 
+from collections.abc import Callable
 import sys
 from typing import Protocol
 
@@ -16,8 +20,22 @@
 # received pieces, body, frame between daemons, bytes being written.
 MEMORY_SHARE = 0.15
 MEGABYTE = 1_048_576
+# Above this share of the limit no further incomplete message is read, so that
+# messages that arrive whole still find memory.
+SHORT_SHARE = 0.8
+# Above this share no request is run for a caller.
+FULL_SHARE = 0.95
+# Share that responses may fill while their callers read. The rest is left for
+# requests.
+RESPONSE_SHARE = 0.9
+# A response that is larger than the above is kept if all else takes less than
+# this share: it is the only large one.
+SINGLE_SHARE = 0.1
 NO_LIMIT = sys.maxsize
 
+# Share for responses that are kept for daemons whose connection was lost.
+OUTCOME_SHARE = 0.1
+
 
 def from_host_memory(memory_mb: float) -> "ByteBudget":
     """Returns the budget for a host's memory, in megabytes."""
@@ -37,14 +55,34 @@
     Attributes:
         limit: Maximum size of all bodies together, in bytes.
         used: Current size of all bodies together, in bytes.
+        on_room: Called when bytes are released and the budget is not short;
+            None if nobody waits for it.
     """
 
     def __init__(self, limit: int = NO_LIMIT):
         self.limit = limit
         self.used = 0
+        self.on_room: Callable[[], None] | None = None
         self._incomplete: dict[BodyHolder, int] = {}
         self._complete: dict[object, int] = {}
 
+    @property
+    def is_short(self) -> bool:
+        """Whether incomplete messages must wait."""
+        return self.used > SHORT_SHARE * self.limit
+
+    @property
+    def is_full(self) -> bool:
+        """Whether new requests must be refused."""
+        return self.used > FULL_SHARE * self.limit
+
+    def has_room_for_response(self, size: int) -> bool:
+        """Returns whether a response may wait for its reader, in bytes."""
+        return (
+            self.used + size <= RESPONSE_SHARE * self.limit
+            or self.used <= SINGLE_SHARE * self.limit
+        )
+
     def add(self, holder: BodyHolder, size: int) -> list[BodyHolder]:
         """Counts received bytes.
 
@@ -68,7 +106,24 @@
                 self._complete.get(new_holder, 0) + size
             )
 
+    def hold(self, holder: object, size: int) -> None:
+        """Sets the bytes of a holder that can't be evicted.
+
+        They may exceed the limit; the holder's owner asks for room before.
+        """
+        before = self._complete.pop(holder, 0)
+        if size:
+            self._complete[holder] = size
+        self.used += size - before
+        if size < before:
+            self._notify()
+
     def release(self, holder: object) -> None:
         """Releases the bytes of a holder."""
         self.used -= self._complete.pop(holder, 0)
         self.used -= self._incomplete.pop(holder, 0)  # type: ignore[call-overload]
+        self._notify()
+
+    def _notify(self) -> None:
+        if self.on_room is not None and not self.is_short:
+            self.on_room()
--- a/packages/sidecar/buckthorn_sidecar/egress.py
+++ b/packages/sidecar/buckthorn_sidecar/egress.py
@@ -621,7 +621,7 @@
     async def _send_local(
         self, frame: frames.Request
     ) -> frames.Response | frames.Failure:
-        fut = self._local.submit(frame)
+        fut = self._local.submit(frame, keeps_outcome=False)
         try:
             return _result(await asyncio.shield(fut))
         except asyncio.CancelledError:
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -84,7 +84,10 @@
         self._tasks: dict[str, asyncio.Task[frames.Frame]] = {}
         self._outcomes: attempt_outcomes.AttemptOutcomes[
             asyncio.Future[frames.Frame]
-        ] = attempt_outcomes.AttemptOutcomes()
+        ] = attempt_outcomes.AttemptOutcomes(
+            int(body_budget.limit * byte_budgets.OUTCOME_SHARE)
+        )
+        self._body_budget = body_budget
         # Attempts of non-idempotent requests that are running.
         self._non_cancellable: set[str] = set()
         self._circuit_breaker = circuit_breakers.CircuitBreaker()
@@ -308,9 +311,15 @@
             self._start_queued()
         self._notify_admission_change()
 
-    def submit(self, req: frames.Request) -> "asyncio.Future[frames.Frame]":
+    def submit(
+        self, req: frames.Request, keeps_outcome: bool = True
+    ) -> "asyncio.Future[frames.Frame]":
         """Starts a request, unless its attempt is already known.
 
+        Args:
+            req: The request.
+            keeps_outcome: Whether its outcome may be queried later.
+
         Returns:
             A future of the Response or Failure frame.
         """
@@ -322,12 +331,23 @@
         task = asyncio.create_task(self._run(req))
         self._tasks[req.attempt] = task
         self._outcomes.begin(req.attempt, task)
-        task.add_done_callback(lambda _: self._complete(req.attempt))
+        if keeps_outcome:
+            task.add_done_callback(
+                lambda done: self._complete(req.attempt, _body_bytes(done))
+            )
+        else:
+            task.add_done_callback(lambda _: self._forget(req.attempt))
         return task
 
-    def _complete(self, attempt: str) -> None:
+    def _forget(self, attempt: str) -> None:
+        self._tasks.pop(attempt, None)
+        self._outcomes.forget(attempt)
+
+    def _complete(self, attempt: str, size: int = 0) -> None:
         self._tasks.pop(attempt, None)
-        self._outcomes.end(attempt, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._outcomes.end(attempt, now_s, size)
+        self._body_budget.hold(self._outcomes, self._outcomes.ended_bytes)
 
     def query_outcome(
         self, frame: frames.OutcomeQuery
@@ -810,6 +830,14 @@
         )
 
 
+def _body_bytes(fut: "asyncio.Future[frames.Frame]") -> int:
+    """Returns the size of a response's body; 0 for other outcomes."""
+    if fut.cancelled() or fut.exception() is not None:
+        return 0
+    frame = fut.result()
+    return len(frame.body) if isinstance(frame, frames.Response) else 0
+
+
 def _priority_of(req: frames.Request) -> slot_queues.Priority:
     workspace_priority = req.workspace_priority
     if workspace_priority is None:
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -8,15 +8,21 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import sys
 from typing import Any
 
 import loguru
 
 from buckthorn_adapters import http1
+from buckthorn_adapters import metrics
 from buckthorn_core import byte_budgets
+from buckthorn_core import connection_limits
 from buckthorn_core import errors
 from buckthorn_core import ids
+from buckthorn_core import transfer_rates
 from buckthorn_core import virtual_hosts
+from buckthorn_sidecar import acceptors
+from buckthorn_sidecar import caller_guards
 from buckthorn_sidecar import settings
 
 # Reading pauses while this many pipelined requests wait for their responses.
@@ -25,7 +31,12 @@
 CLOSE_LINGER_S = 1.0
 # How often connections are checked for timeouts, in seconds.
 CHECK_INTERVAL_S = 0.5
-BACKLOG = 1_024
+# Bytes that are parsed, and written, at a time. In between, reading or writing
+# can pause.
+PARSE_SIZE = 16_384
+WRITE_SIZE = http1.MAX_JOINED_BODY_BYTES
+# Reading pauses while more bytes of a connection's responses are not written.
+MAX_UNWRITTEN_BYTES = 262_144
 
 Handler = Callable[[http1.Request], Awaitable[http1.Response]]
 _logger = loguru.logger.bind(module=__name__)
@@ -50,11 +61,20 @@
 
     def __init__(self) -> None:
         self.task: asyncio.Task[None] | None = None
-        self.data: bytes | None = None
+        self.data: tuple[bytes, ...] | None = None
 
 
 class ListenerConnection(asyncio.Protocol):
-    """An HTTP connection that a listener has accepted."""
+    """An HTTP connection that a listener has accepted.
+
+    Attributes:
+        peer: The caller's IP address.
+        held_since_s: Since when reading waits for memory, in seconds of the
+            event loop's clock; None if it doesn't.
+        last_activity_s: When the last data came or a response was known, on
+            the same clock.
+        has_sent: Whether the caller has sent anything.
+    """
 
     def __init__(self, listener: "Listener"):
         self._listener = listener
@@ -70,28 +90,82 @@
             self._refuse_and_close,
             listener.body_budget,
         )
-        self._last_activity_s = self._loop.time()
-        self._request_started_s = self._last_activity_s
+        self.peer = ""
+        self.held_since_s: float | None = None
+        self.last_activity_s = self._loop.time()
+        self.has_sent = False
+        self._request_started_s = self.last_activity_s
         self._closing = False
+        self._is_freed = False
         self._last_request_read = False
+        # Received bytes that were not parsed before reading paused.
+        self._unparsed = b""
+        self._reading_paused = False
+        self._received_bytes = 0
+        self._receiving = transfer_rates.TransferRate(self.last_activity_s)
+        # What the transport has not taken yet, and its size with that of
+        # responses that wait for earlier ones.
+        self._unwritten: collections.deque[memoryview] = collections.deque()
+        self._unwritten_bytes = 0
+        self._writing_paused = False
+        self._written_bytes = 0
+        # Whether a check has found bytes that were not sent.
+        self._is_sending = False
+        self._sending = transfer_rates.TransferRate(self.last_activity_s)
+        self._held_bytes = 0
 
     @property
     def busy(self) -> bool:
-        """Whether a request is in flight or being read."""
-        return bool(self._pending) or self._parser.in_message
+        """Whether a request is in flight or read, or a response is written."""
+        return (
+            bool(self._pending)
+            or self._parser.in_message
+            or self._unsent_bytes > 0
+        )
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether part of a request has been received."""
+        return self._parser.in_message and not self._closing
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the connection takes, without its requests, in bytes."""
+        return self._held_bytes
+
+    @property
+    def _unsent_bytes(self) -> int:
+        size = self._unwritten_bytes
+        if self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        return size
 
     def connection_made(self, transport: Any) -> None:
         """Stores the transport and sets the socket options."""
         self._transport = transport
         http1.set_socket_options(transport)
+        transport.set_write_buffer_limits(WRITE_SIZE)
+        peer = transport.get_extra_info("peername")
+        self.peer = str(peer[0]) if peer else ""
         self._listener.conns.add(self)
+        self._update_held_bytes()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the caller's requests."""
         del exc
-        self._listener.conns.discard(self)
-        self._parser.close()
         self._cancel_all()
+        self._free()
+        self._listener.on_lost(self)
+
+    def _free(self) -> None:
+        """Frees what the connection takes; nothing is sent any more."""
+        self._closing = self._is_freed = True
+        self._unparsed = b""
+        self._unwritten.clear()
+        self._unwritten_bytes = 0
+        self._parser.close()
+        self._held_bytes = 0
+        self._listener.body_budget.hold(self, 0)
 
     def eof_received(self) -> bool:
         """Cancels the requests of a caller that has closed its connection."""
@@ -104,41 +178,116 @@
                 pending.task.cancel()
         self._pending.clear()
 
+    def _update_held_bytes(self) -> None:
+        """Counts in the budget what the connection takes now."""
+        if self._is_freed:
+            return
+        size = (
+            connection_limits.CONNECTION_BYTES
+            + len(self._unparsed)
+            + self._unsent_bytes
+        )
+        if size != self._held_bytes:
+            self._held_bytes = size
+            self._listener.body_budget.hold(self, size)
+
     def data_received(self, data: bytes) -> None:
         """Parses received data into requests."""
         if self._closing or self._last_request_read:
             return
-        was_reading = self._parser.in_message
-        self._last_activity_s = self._loop.time()
-        if not was_reading:
-            self._request_started_s = self._last_activity_s
+        self.has_sent = True
+        self.last_activity_s = self._loop.time()
+        self._received_bytes += len(data)
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, until reading pauses."""
+        if not self._parser.in_message:
+            self._request_started_s = self._loop.time()
             limits = self._listener.limits
             self._parser.max_header_bytes = limits.max_header_bytes
             self._parser.max_body_bytes = limits.max_body_bytes
+            self._receiving.reset(self._request_started_s, self._received_bytes)
+        data, start = self._unparsed, 0
         try:
-            self._parser.feed(data)
+            while start < len(data) and not self._ignores_data:
+                self._parser.feed(data[start : start + PARSE_SIZE])
+                start += PARSE_SIZE
+                if self.incomplete and self._listener.body_budget.is_short:
+                    self._listener.guard.on_incomplete(self)
+                self._update_reading()
+                if self._reading_paused:
+                    break
         except errors.RequestError as exc:
             _logger.info("bad_request", error=str(exc))
             self._refuse_and_close(exc)
+        had_unparsed = data is not self._unparsed
+        self._unparsed = b"" if self._ignores_data else data[start:]
+        if self._unparsed or had_unparsed:
+            self._update_held_bytes()
+
+    @property
+    def _ignores_data(self) -> bool:
+        return self._closing or self._last_request_read
+
+    def _update_reading(self) -> None:
+        """Pauses or resumes reading."""
+        pause = not self._ignores_data and (
+            self.held_since_s is not None
+            or len(self._pending) >= MAX_PIPELINED_REQUESTS
+            or self._unwritten_bytes > MAX_UNWRITTEN_BYTES
+        )
+        if pause is self._reading_paused:
+            return
+        self._reading_paused = pause
+        if pause:
+            self._transport.pause_reading()
+            return
+        self._receiving.reset(self._loop.time(), self._received_bytes)
+        self._transport.resume_reading()
+        if self._unparsed:
+            self._loop.call_soon(self._parse)
+
+    def hold_reading(self) -> None:
+        """Pauses reading until there is memory."""
+        self.held_since_s = self._loop.time()
+        self._update_reading()
+
+    def release_reading(self) -> None:
+        """Ends such a pause."""
+        self.held_since_s = None
+        self._update_reading()
 
     def _on_expect(self) -> None:
         if not self._pending:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_request(self, req: http1.Request) -> None:
-        if self._closing or self._last_request_read:
+        if self._ignores_data:
             self._listener.body_budget.release(req)
             return
         pending = _PendingResponse()
         self._pending.append(pending)
         if not req.keep_alive or self._listener.draining:
             self._last_request_read = True
+        if self._listener.body_budget.is_full:
+            self._listener.body_budget.release(req)
+            self._refuse(pending, req)
+            return
         pending.task = self._loop.create_task(self._run(pending, req))
         pending.task.add_done_callback(
             lambda _: self._listener.body_budget.release(req)
         )
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
+
+    def _refuse(self, pending: _PendingResponse, req: http1.Request) -> None:
+        """Answers a request that is not run for want of memory."""
+        self._listener.guard.count_refused()
+        status, headers, body = error_response(memory_short_error())
+        pending.data = http1.encode_response_parts(
+            status, headers, body, not req.keep_alive, req.method == "HEAD"
+        )
+        self._write_ready()
 
     async def _run(self, pending: _PendingResponse, req: http1.Request) -> None:
         try:
@@ -153,33 +302,83 @@
         except Exception:
             _logger.exception("request_handler_failed")
             status, headers, body = 500, [], b"internal error\n"
+        if len(
+            body
+        ) > WRITE_SIZE and not self._listener.guard.has_room_for_response(
+            len(body)
+        ):
+            status, headers, body = error_response(
+                errors.RequestError(
+                    errors.Code.UPSTREAM_FAILED,
+                    "no memory is left for the response",
+                )
+            )
         last = self._listener.draining or not req.keep_alive
         close = last and pending is self._pending[-1]
-        pending.data = http1.encode_response(
+        pending.data = http1.encode_response_parts(
             status, headers, body, close, head_only=req.method == "HEAD"
         )
         if close:
             self._last_request_read = True
-        self._write_ready()
+        self._write_ready(sum(map(len, pending.data)))
 
-    def _write_ready(self) -> None:
+    def _write_ready(self, size: int | None = None) -> None:
+        """Writes the responses that are next in order.
+
+        Args:
+            size: Size of a response that is now known, in bytes; by default
+                that of the last one.
+        """
+        if size is None:
+            size = sum(map(len, self._pending[-1].data or ()))
+        self._unwritten_bytes += size
         while self._pending and self._pending[0].data is not None:
             data = self._pending.popleft().data
             assert data is not None
+            self._unwritten.extend(map(memoryview, data))
+        self.last_activity_s = self._loop.time()
+        self._write()
+
+    def _write(self) -> None:
+        """Writes until the transport's buffer is full."""
+        while self._unwritten and not self._writing_paused:
+            data = self._unwritten.popleft()
+            if len(data) > WRITE_SIZE:
+                self._unwritten.appendleft(data[WRITE_SIZE:])
+                data = data[:WRITE_SIZE]
+            self._unwritten_bytes -= len(data)
+            self._written_bytes += len(data)
             self._transport.write(data)
-        if len(self._pending) < MAX_PIPELINED_REQUESTS and not self._closing:
-            self._transport.resume_reading()
-        self._last_activity_s = self._loop.time()
-        if self._last_request_read and not self._pending:
+        self._update_held_bytes()
+        self._update_reading()
+        if (
+            self._last_request_read
+            and not self._pending
+            and not self._unwritten
+        ):
             self._close_gracefully()
 
+    def pause_writing(self) -> None:
+        """Stops writing, since the transport's buffer is full."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Writes on, since the transport's buffer has emptied."""
+        self._writing_paused = False
+        self._write()
+
     def _refuse_and_close(self, exc: errors.RequestError) -> None:
         """Sends an error after the pending responses, then closes."""
+        if exc.code is errors.Code.BODIES_FULL:
+            self._listener.guard.count_refused()
         status, headers, body = error_response(exc)
         pending = _PendingResponse()
-        pending.data = http1.encode_response(status, headers, body, True)
+        pending.data = http1.encode_response_parts(status, headers, body, True)
         self._pending.append(pending)
         self._last_request_read = True
+        self.held_since_s = None
+        self._unparsed = b""
+        self._parser.close()
         self._write_ready()
 
     def _close_gracefully(self) -> None:
@@ -193,23 +392,84 @@
         self._loop.call_later(CLOSE_LINGER_S, self._transport.close)
 
     def check(self, now_s: float) -> None:
-        """Closes the connection on a header or idle timeout."""
+        """Closes the connection on a header or idle timeout, or if stalled."""
+        limits = self._listener.limits
+        if self._is_response_stalled(now_s, limits.idle_timeout_s):
+            self.close_stalled()
+            return
         if self._closing:
             return
-        limits = self._listener.limits
-        if self._parser.in_headers:
+        if self._parser.in_headers and self.held_since_s is None:
             if now_s - self._request_started_s > limits.header_timeout_s:
                 self._refuse_and_close(
                     errors.RequestError(
                         errors.Code.HEADERS_SLOW, "the headers took too long"
                     )
                 )
+        elif self.is_body_stalled(now_s, limits.idle_timeout_s):
+            self.close_stalled()
         elif (
             not self.busy
-            and now_s - self._last_activity_s > limits.idle_timeout_s
+            and now_s - self.last_activity_s > limits.idle_timeout_s
         ):
             self._transport.close()
 
+    def is_body_stalled(self, now_s: float, grace_s: float) -> bool:
+        """Returns whether a body came too slowly for a time, in seconds."""
+        return (
+            self.incomplete
+            and not self._reading_paused
+            and not self._last_request_read
+            and self._receiving.is_stalled(now_s, self._received_bytes, grace_s)
+        )
+
+    def is_stalled(self, now_s: float, grace_s: float) -> bool:
+        """Returns whether the caller sent or read too slowly for a time."""
+        return self.is_body_stalled(
+            now_s, grace_s
+        ) or self._is_response_stalled(now_s, grace_s)
+
+    def _is_response_stalled(self, now_s: float, grace_s: float) -> bool:
+        if self._unsent_bytes == 0:
+            self._is_sending = False
+            return False
+        self._update_held_bytes()
+        taken = (
+            self._written_bytes
+            - self._transport.get_write_buffer_size()
+            - http1.unacknowledged_bytes(self._transport)
+        )
+        if not self._is_sending:
+            self._is_sending = True
+            self._sending.reset(now_s, taken)
+        return self._sending.is_stalled(now_s, taken, grace_s)
+
+    @property
+    def stalled_since_s(self) -> float:
+        """Since when the caller has sent or read too slowly."""
+        if self._unsent_bytes:
+            return self._sending.since_s
+        return self._receiving.since_s
+
+    def close_stalled(self) -> None:
+        """Closes the connection of a caller that sends or reads too slowly.
+
+        A request that is not complete was not run, and is refused.
+        """
+        self._listener.guard.count_closed()
+        if self._unsent_bytes or not self.incomplete:
+            self.close()
+            return
+        self._refuse_and_close(
+            errors.RequestError(
+                errors.Code.HEADERS_SLOW, "the body took too long"
+            )
+        )
+
+    def refuse_held(self) -> None:
+        """Refuses a request for whose body there is no memory."""
+        self._refuse_and_close(memory_short_error())
+
     def drain(self) -> None:
         """Stops reading new requests, and closes after the last response.
 
@@ -224,6 +484,7 @@
     def close(self) -> None:
         """Closes the connection at once."""
         self._transport.abort()
+        self._free()
 
 
 class Listener:
@@ -233,8 +494,9 @@
         handler: Returns the response to a request.
         limits: Size limits and timeouts for callers.
         draining: Whether connections close after their last response.
-        body_budget: Limits the total size of buffered bodies.
+        body_budget: Limits the memory of callers' requests and responses.
         conns: The open connections.
+        guard: Keeps callers from taking all memory and connections.
     """
 
     def __init__(
@@ -242,14 +504,18 @@
         address: ids.Address,
         handler: Handler,
         body_budget: byte_budgets.ByteBudget | None = None,
+        max_connections: int = sys.maxsize,
+        meter: metrics.Metrics | None = None,
     ):
         """Creates the listener.
 
         Args:
             address: Address to listen on.
             handler: Returns the response to a request.
-            body_budget: Limits the total size of buffered bodies; None for
-                no limit.
+            body_budget: Limits the memory of callers' requests and responses;
+                None for no limit.
+            max_connections: Most connections that are open at a time.
+            meter: Counts what callers are refused; None to count nothing.
         """
         self._address = address
         self.handler = handler
@@ -257,7 +523,13 @@
         self.limits = DEFAULT_LIMITS
         self.draining = False
         self.conns: set[ListenerConnection] = set()
-        self._server: asyncio.Server | None = None
+        self.acceptor = acceptors.Acceptor(
+            lambda: ListenerConnection(self),
+            lambda: len(self.conns) + self.acceptor.opening < max_connections,
+        )
+        self.guard = caller_guards.CallerGuard(
+            self.body_budget, self.conns, self.acceptor, meter
+        )
         self._check_task: asyncio.Task[None] | None = None
 
     @property
@@ -272,12 +544,15 @@
             OSError: The address can't be listened on.
         """
         host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ListenerConnection(self), host, int(port), backlog=BACKLOG
-        )
+        await self.acceptor.start(host, int(port))
         self._check_task = asyncio.create_task(self._check())
 
+    def on_lost(self, conn: ListenerConnection) -> None:
+        """Forgets a connection that has ended."""
+        self.conns.discard(conn)
+        self.guard.on_lost(conn)
+        self.acceptor.resume()
+
     def drain(self) -> None:
         """Closes each connection after its pending responses."""
         self.draining = True
@@ -286,8 +561,7 @@
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
-        if self._server is not None:
-            self._server.close()
+        self.acceptor.close()
 
     def close(self) -> None:
         """Stops listening and closes all connections."""
@@ -303,6 +577,16 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             for conn in list(self.conns):
                 conn.check(loop.time())
+            self.guard.check(loop.time())
+
+
+def memory_short_error() -> errors.RequestError:
+    """Returns the error of a request that is not run for want of memory."""
+    return errors.RequestError(
+        errors.Code.BODIES_FULL,
+        "other requests and responses take the memory",
+        http1.BODY_MEMORY_RETRY_S,
+    )
 
 
 def error_response(
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -36,6 +36,8 @@
         retry_window_s: Length of that window, in seconds.
         link_mbps: Bandwidth of the host's network link, in Mbit/s.
         memory_mb: Memory limit of the process, in megabytes.
+        max_descriptors: Most descriptors that the process may open; 0 for the
+            limit that the system sets.
     """
 
     daemon: ids.DaemonId
@@ -55,3 +57,4 @@
     retry_window_s: float = 10.0
     link_mbps: float = 100.0
     memory_mb: float = DEFAULT_MEMORY_MB
+    max_descriptors: int = 0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -4,6 +4,8 @@
 import contextlib
 import math
 import os
+import resource
+import sys
 from typing import NamedTuple
 
 import loguru
@@ -12,6 +14,7 @@
 from buckthorn_adapters import metrics
 from buckthorn_adapters import traffic_counters
 from buckthorn_core import byte_budgets
+from buckthorn_core import connection_limits
 from buckthorn_core import directories
 from buckthorn_core import entries
 from buckthorn_core import errors
@@ -108,7 +111,13 @@
             self.meter,
         )
         self.callers = listeners.Listener(
-            cfg.callers_listen, self._egress.handle, body_budget
+            cfg.callers_listen,
+            self._egress.handle,
+            body_budget,
+            connection_limits.max_connections(
+                _max_descriptors(cfg.max_descriptors), body_budget.limit
+            ),
+            self.meter,
         )
         self._link_server = links.LinkServer(cfg.daemons_listen, self.ingress)
         self.ingress.on_admission_change = lambda: self._link_server.broadcast(
@@ -210,6 +219,9 @@
         self.meter.register_gauge(
             "buckthorn_body_bytes", lambda: body_budget.used
         )
+        self.meter.register_gauge(
+            "buckthorn_caller_connections", lambda: len(self.callers.conns)
+        )
         self.meter.register_gauge("buckthorn_ready", lambda: int(self.ready))
         self.meter.register_gauge(
             "buckthorn_upstream_limit",
@@ -483,6 +495,14 @@
         self._egress.keep_only(names)
 
 
+def _max_descriptors(configured: int) -> int:
+    """Returns the most descriptors: the host's or the process's limit."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        soft = sys.maxsize
+    return min(configured or soft, soft)
+
+
 def text_response(status: int, body: bytes) -> http1.Response:
     """Returns a plain-text response."""
     response = http1.Response()
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -1,6 +1,7 @@
 """Parsing and encoding of HTTP/1.1 messages."""
 
 import asyncio
+import tracemalloc
 
 import hypothesis
 from hypothesis import strategies
@@ -276,7 +277,7 @@
 
 def test_request_bodies_share_a_budget():
     """Guards against concurrent uploads that exhaust the host's memory."""
-    budget = byte_budgets.ByteBudget(1_000)
+    budget = byte_budgets.ByteBudget(100_000)
     refused, requests = [], []
 
     def make_parser():
@@ -284,24 +285,26 @@
             requests.append,
             lambda: None,
             2_000,
-            2_000,
+            200_000,
             lambda exc: refused.append(exc.code),
             budget,
         )
 
     head = b"PUT /d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
     large, small = make_parser(), make_parser()
-    large.feed(head % 900 + 800 * b"x")
-    small.feed(head % 300 + 300 * b"x")
+    large.feed(head % 90_000 + 80_000 * b"x")
+    small.feed(head % 30_000 + 30_000 * b"x")
     assert refused == [errors.Code.BODIES_FULL]
     [req] = requests
-    assert budget.used == 300
+    # The head and the request's objects count, too.
+    heads = http1.REQUEST_BYTES + 2 * http1.HEADER_BYTES
+    assert 30_000 + heads < budget.used < 30_000 + heads + 100
     # A body larger than the whole budget is refused before it is sent.
     with pytest.raises(errors.RequestError) as caught:
-        make_parser().feed(head % 1_500)
+        make_parser().feed(head % 150_000)
     assert caught.value.code is errors.Code.BODY_TOO_LARGE
     with pytest.raises(errors.RequestError) as caught:
-        make_parser().feed(head % 900 + 800 * b"x")
+        make_parser().feed(head % 90_000 + 80_000 * b"x")
     assert caught.value.code is errors.Code.BODIES_FULL
     budget.release(req)
     assert budget.used == 0
@@ -419,3 +422,45 @@
     data = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
     with pytest.raises(http1.IncompleteResponseError):
         asyncio.run(_exchange(data))
+
+
+def test_headers_in_two_parts_with_a_body_are_accepted():
+    """Guards against 431 for an upload whose head comes in two reads."""
+    body = 50_000 * b"x"
+    data = b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + body
+    for split in range(1, data.index(body) + 1):
+        [req] = parse(data, [split], 2_000, 60_000)
+        assert req.body == body
+
+
+@pytest.mark.parametrize("size", [1, 7, 16_384])
+def test_small_chunks_take_no_more_than_large_ones(size):
+    """Guards against an object for each chunk of a byte."""
+    budget = byte_budgets.ByteBudget()
+    request_parser = http1.RequestParser(
+        lambda req: None, lambda: None, 2_000, 1_000_000, print, budget
+    )
+    chunk = b"%x\r\n%b\r\n" % (size, size * b"x")
+    request_parser.feed(
+        b"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    head = budget.used
+    count = 98_304 // size
+    tracemalloc.start()
+    request_parser.feed(count * chunk)
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert budget.used == head + count * size
+    assert taken < 1.5 * (budget.used - head) + 10_000
+
+
+def test_unfinished_heads_count_in_the_budget():
+    """Guards against many callers that send only part of a head."""
+    budget = byte_budgets.ByteBudget()
+    request_parser = http1.RequestParser(
+        lambda req: None, lambda: None, 20_000, 1_000, print, budget
+    )
+    request_parser.feed(b"GET / HTTP/1.1\r\n" + 1_000 * b"aa: bb\r\n")
+    assert budget.used > 190_000
+    request_parser.close()
+    assert budget.used == 0
--- a/tests/core/test_attempt_outcomes.py
+++ b/tests/core/test_attempt_outcomes.py
@@ -87,3 +87,29 @@
 def test_an_id_without_a_number_raises_no_error(text):
     """Guards against an exception for ids of another format."""
     assert not attempt_outcomes.AttemptOutcomes().may_have_dropped(text)
+
+
+def test_outcomes_take_a_limited_number_of_bytes():
+    """Guards against long responses that are kept until memory is gone."""
+    outcomes = attempt_outcomes.AttemptOutcomes(max_bytes=250)
+    for n in range(4):
+        outcomes.begin(attempt(n), "ended")
+        outcomes.end(attempt(n), 1.0, 100)
+    assert outcomes.ended_bytes == 200
+    assert [outcomes.get(attempt(n)) for n in range(4)] == [
+        None,
+        None,
+        "ended",
+        "ended",
+    ]
+    assert outcomes.may_have_dropped(attempt(1))
+
+
+def test_a_forgotten_attempt_takes_no_room():
+    """Guards against keeping responses that no daemon can query."""
+    outcomes = attempt_outcomes.AttemptOutcomes(max_bytes=250)
+    outcomes.begin(attempt(0), "ended")
+    outcomes.forget(attempt(0))
+    outcomes.end(attempt(0), 1.0, 100)
+    assert outcomes.get(attempt(0)) is None
+    assert outcomes.ended_bytes == 0
--- a/tests/core/test_byte_budgets.py
+++ b/tests/core/test_byte_budgets.py
@@ -71,3 +71,42 @@
     for holder in (*holders, *complete):
         budget.release(holder)
     assert budget.used == 0
+
+
+def test_held_bytes_leave_less_for_incomplete_messages():
+    """Guards against responses for slow readers that count as nothing."""
+    budget = byte_budgets.ByteBudget(1_000)
+    response, upload = object(), Message()
+    budget.hold(response, 700)
+    assert budget.add(upload, 200) == []
+    assert budget.is_short
+    assert budget.add(upload, 200) == [upload]
+    budget.hold(response, 100)
+    assert budget.used == 100
+    budget.hold(response, 0)
+    assert budget.used == 0
+
+
+def test_room_is_announced_once_the_budget_is_not_short():
+    """Guards against uploads that wait for ever after a shortage."""
+    budget = byte_budgets.ByteBudget(1_000)
+    calls = []
+    budget.on_room = lambda: calls.append(budget.used)
+    first, second = object(), object()
+    budget.hold(first, 900)
+    budget.hold(second, 50)
+    budget.release(second)
+    assert calls == []
+    budget.hold(first, 500)
+    assert calls == [500]
+
+
+def test_a_single_response_has_room_whatever_its_size():
+    """Guards against a limit that a caller meets without any others."""
+    budget = byte_budgets.ByteBudget(1_000)
+    assert budget.has_room_for_response(990)
+    budget.hold("conns", 90)
+    assert budget.has_room_for_response(990)
+    budget.hold("other", 300)
+    assert budget.has_room_for_response(400)
+    assert not budget.has_room_for_response(600)
