Keep requests in while an upstream sends an endless response

New requests are refused only for what can't be evicted, and pipelined requests that were read but not parsed are refused when that is full.

--- a/packages/core/buckthorn_core/byte_budgets.py
+++ b/packages/core/buckthorn_core/byte_budgets.py
@@ -55,6 +55,7 @@
     Attributes:
         limit: Maximum size of all bodies together, in bytes.
         used: Current size of all bodies together, in bytes.
+        held: The part of it that can't be evicted, in bytes.
         on_room: Called when bytes are released and the budget is not short;
             None if nobody waits for it.
     """
@@ -62,6 +63,7 @@
     def __init__(self, limit: int = NO_LIMIT):
         self.limit = limit
         self.used = 0
+        self.held = 0
         self.on_room: Callable[[], None] | None = None
         self._incomplete: dict[BodyHolder, int] = {}
         self._complete: dict[object, int] = {}
@@ -73,8 +75,12 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether new requests must be refused."""
-        return self.used > FULL_SHARE * self.limit
+        """Whether new requests must be refused.
+
+        Incomplete messages don't count, since they can be evicted: an upstream
+        that sends an endless response must not keep requests out.
+        """
+        return self.held > FULL_SHARE * self.limit
 
     def has_room_for_response(self, size: int) -> bool:
         """Returns whether a response may wait for its reader, in bytes."""
@@ -102,6 +108,7 @@
         """Transfers a complete body to a new holder; it can't be evicted."""
         size = self._incomplete.pop(holder, 0)
         if size:
+            self.held += size
             self._complete[new_holder] = (
                 self._complete.get(new_holder, 0) + size
             )
@@ -115,12 +122,15 @@
         if size:
             self._complete[holder] = size
         self.used += size - before
+        self.held += size - before
         if size < before:
             self._notify()
 
     def release(self, holder: object) -> None:
         """Releases the bytes of a holder."""
-        self.used -= self._complete.pop(holder, 0)
+        size = self._complete.pop(holder, 0)
+        self.held -= size
+        self.used -= size
         self.used -= self._incomplete.pop(holder, 0)  # type: ignore[call-overload]
         self._notify()
 
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -220,12 +220,15 @@
                 if self._reading_paused:
                     break
         except errors.RequestError as exc:
-            _logger.info("bad_request", error=str(exc))
+            if exc.code is not errors.Code.BODIES_FULL:
+                _logger.info("bad_request", error=str(exc))
             self._refuse_and_close(exc)
         had_unparsed = data is not self._unparsed
         self._unparsed = b"" if self._ignores_data else data[start:]
         if self._unparsed or had_unparsed:
             self._update_held_bytes()
+        if self._unparsed and self._listener.body_budget.is_full:
+            self._refuse_and_close(memory_short_error())
 
     @property
     def _ignores_data(self) -> bool:
--- a/tests/core/test_byte_budgets.py
+++ b/tests/core/test_byte_budgets.py
@@ -110,3 +110,16 @@
     budget.hold("other", 300)
     assert budget.has_room_for_response(400)
     assert not budget.has_room_for_response(600)
+
+
+def test_endless_messages_keep_no_request_out():
+    """Guards against refusals while an upstream sends an endless response."""
+    budget = byte_budgets.ByteBudget(1_000)
+    endless, req = Message(), object()
+    budget.add(endless, 990)
+    assert budget.is_short
+    assert not budget.is_full
+    budget.transfer(endless, req)
+    assert budget.is_full
+    budget.release(req)
+    assert (budget.used, budget.held) == (0, 0)
--- a/tests/sidecar/test_listeners.py
+++ b/tests/sidecar/test_listeners.py
@@ -7,6 +7,7 @@
 
 from buckthorn_adapters import http1
 from buckthorn_core import byte_budgets
+from buckthorn_core import connection_limits
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import caller_guards
 from buckthorn_sidecar import listeners
@@ -210,6 +211,42 @@
     asyncio.run(run())
 
 
+def test_unparsed_requests_are_refused_when_memory_is_full():
+    """Guards against memory that pipelined requests take before they run."""
+
+    async def run():
+        budget = byte_budgets.ByteBudget(2_000_000)
+        async with Server(b"done\n", budget=budget) as server:
+            started = asyncio.Event()
+
+            async def handle(req):
+                response = await server.handle(req)
+                await started.wait()
+                return response
+
+            server.listener.handler = handle
+            readers = [
+                (await server.connect(3_000 * GET))[0] for _ in range(40)
+            ]
+            await asyncio.sleep(0.5)
+            # One read and the connections themselves may exceed it.
+            conns = 40 * connection_limits.CONNECTION_BYTES
+            assert budget.used <= budget.limit + 262_144 + conns
+            started.set()
+            statuses = set()
+            async with asyncio.timeout(20.0):
+                for reader in readers[-4:]:
+                    while line := await reader.readline():
+                        if line.startswith(b"HTTP"):
+                            statuses.add(line.split(b" ")[1])
+                        if statuses == {b"200", b"503"}:
+                            break
+            assert b"503" in statuses
+            assert statuses <= {b"200", b"503"}
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("idle", [True, False])
 def test_connections_beyond_the_limit_wait(idle):
     """Guards against accepting until the process has no descriptor left."""
