--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -21,7 +21,7 @@
         "Bodies from other daemons that there was no memory for"
     ),
     "buckthorn_body_bytes": (
-        "Bytes of bodies that are held, of all requests and answers"
+        "Bytes of requests, responses and callers' connections that are held"
     ),
     "buckthorn_body_send": (
         "Time from the first to the last piece of a long body, at the sender"
@@ -43,6 +43,16 @@
         "Tokens of rate limits that requests took or gave back, by result"
     ),
     "buckthorn_cap_wait": "Waits of requests for a token of a rate limit",
+    "buckthorn_caller_connections": "Open connections of callers",
+    "buckthorn_callers_closed": (
+        "Connections of callers that were closed as stalled or idle"
+    ),
+    "buckthorn_callers_paused": (
+        "Callers' requests whose reading was paused for want of memory"
+    ),
+    "buckthorn_callers_refused": (
+        "Callers' requests that were refused for want of memory, not run"
+    ),
     "buckthorn_catch_ups": "Versions pulled after a peer was seen to be ahead",
     "buckthorn_claim": "Duration of claims of operation keys",
     "buckthorn_claims": "Claims of operation keys, by verdict",
@@ -91,6 +101,9 @@
     "buckthorn_request_errors": (
         "Callers' requests that were refused or failed, by service and code"
     ),
+    "buckthorn_responses_dropped": (
+        "Long responses that were replaced by 502 for want of memory"
+    ),
     "buckthorn_retries": "Further tries of callers' requests, by service",
     "buckthorn_status_query_failures": ("Failed queries of the fleet's status"),
     "buckthorn_summary_failures": "Failed summaries to other regions",
--- a/packages/sidecar/buckthorn_sidecar/body_pieces.py
+++ b/packages/sidecar/buckthorn_sidecar/body_pieces.py
@@ -181,7 +181,7 @@
             if self._meter is not None:
                 self._meter.count("buckthorn_bodies_refused")
             return False
-        self._budget.hold(holder, size)
+        self._budget.add_held(holder, size)
         return True
 
     def release(self, holder: object) -> None:
@@ -205,7 +205,7 @@
             self._budget.release(holder)
 
         self._refs[key] = weakref.ref(frame, on_freed)
-        self._budget.hold(holder, size)
+        self._budget.add_held(holder, size)
 
     def send(self, conn: Connection, frame: BodyFrame) -> None:
         """Sends a frame whose body follows in pieces."""
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -46,6 +46,8 @@
         canary_slack: Requests that it may get in addition.
         rollback_s: Time from the 50th bad response of a version until no daemon
             uses it any more, in seconds.
+        max_descriptors: Most descriptors that the process may open; 0 for the
+            limit that the system sets.
     """
 
     daemon: ids.DaemonId
@@ -71,3 +73,4 @@
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_s: float = 5.0
+    max_descriptors: int = 0
