--- a/packages/sidecar/buckthorn_sidecar/frames.py
+++ b/packages/sidecar/buckthorn_sidecar/frames.py
@@ -186,18 +186,18 @@
         health_path: Path of the health check of the receiver's upstream;
             empty if not known. A daemon that has just started needs it while
             it can't read the configuration.
-        trials: Reports on trials of versions. A daemon of an earlier release
-            ignores them.
         takes_pieces: Whether the sender takes bodies in pieces; stated in the
             first frame on a connection.
         region: The sender's region, stated there, too; empty if not known.
+        trials: Reports on trials of versions. A daemon of an earlier release
+            ignores them.
     """
 
     suspicions: list[entries.CrashSuspicion] = []
     health_path: str = ""
-    trials: list[version_trials.Report] = []
     takes_pieces: bool = False
     region: ids.RegionName = ids.RegionName("")
+    trials: list[version_trials.Report] = []
 
 
 class Pong(msgspec.Struct, tag="P", array_like=True, frozen=True):
