--- a/tests/platform/test_long_bodies.py
+++ b/tests/platform/test_long_bodies.py
@@ -36,11 +36,6 @@
 )
 
 
-def set_limits(host, text):
-    """Adds resources to the settings file of a host."""
-    host.file.write_text(f"{host.file.read_text()}[limits]\n{text}\n")
-
-
 @pytest.fixture
 def hosts(cleanup, tmp_path, store, new_instance):
     """A host of callers, and the host of the instance with little memory."""
@@ -55,9 +50,14 @@
         ("h-2", "stock", MEMORY_MB),
     ):
         instance = new_instance(service)
-        host = standins.Host(tmp_path, name, store, instance)
+        host = standins.Host(
+            tmp_path,
+            name,
+            store,
+            instance,
+            limits={"memoryMb": memory_mb, "linkMbps": 1000.0},
+        )
         cleanup(host)
-        set_limits(host, f"memoryMb = {memory_mb}\nlinkMbps = 1000.0")
         host.start()
         standins.wait_for(lambda host=host: host.readiness() == 200)
         assert instance.heartbeat(host.ports["control"]) == 200
