Learn how many requests an instance runs at once without slowing down

An instance that thrashes beyond part of its announced slots was given all of them, and completed fewer runs the more it got. The daemon beside it now tries lower limits when run times near the limit exceed 1.5 times the baseline of their own route, and keeps one only if as many runs complete per second. Lowered limits are raised in trials. Load reports carry the limit as slots, so senders place by the room that it leaves. Cold instances start with 0.7 of their slots.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -68,6 +68,9 @@
     "buckthorn_unrecorded_changes": (
         "Changes in force that the log has lost and nobody has written again"
     ),
+    "buckthorn_upstream_concurrency": (
+        "Requests that the upstream beside this daemon is given at once"
+    ),
     "buckthorn_upstream_limit": (
         "Requests per second that the upstream beside this daemon takes from"
         " all hosts together; +Inf while it states no limit"
--- a/packages/core/buckthorn_core/slot_queues.py
+++ b/packages/core/buckthorn_core/slot_queues.py
@@ -18,6 +18,7 @@
 
 from typing import NamedTuple
 
+from buckthorn_core import concurrency_limits
 from buckthorn_core import errors
 from buckthorn_core import event_rates
 from buckthorn_core import ids
@@ -52,6 +53,9 @@
 # Transit time of an answer to the caller, in seconds. The links of the meshes
 # take 8 ms to callers and up to 20 ms between regions.
 ANSWER_TRANSIT_S = 0.03
+# Share of a run that counts as its own at least, whatever its calls took: the
+# time of calls is an estimate.
+MIN_OWN_SHARE = 0.2
 # Limits of the Retry-After value, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
@@ -141,16 +145,16 @@
     """Assigns the slots of one upstream and orders the waiting requests.
 
     Attributes:
-        slots: Number of requests that the upstream runs concurrently.
         warming: Whether the upstream reports that it warms up.
         limit: The request limit that the upstream states.
+        concurrency: The learned limit of concurrent requests.
     """
 
     def __init__(self, slots: int = 0):
-        self.slots = slots
+        self.concurrency = concurrency_limits.ConcurrencyLimit(slots)
         self.warming = False
         self.limit = stated_limits.StatedLimit()
-        self._running: set[int] = set()
+        self._running: dict[int, concurrency_limits.Run] = {}
         self._waiting: list[Ticket] = []
         self._last_number = 0
         self._run_s: dict[ids.RouteName, _Average] = {}
@@ -159,7 +163,7 @@
 
     def reset(self, slots: int, warming: bool) -> None:
         """Discards the run times and the limit of the previous lifetime."""
-        self.slots = slots
+        self.concurrency.reset(slots, warming)
         self.limit = stated_limits.StatedLimit()
         self.warming = warming
         self._run_s.clear()
@@ -169,6 +173,15 @@
     def _warmup_factor(self) -> float:
         return WARMUP_FACTOR if self.warming else 1.0
 
+    @property
+    def slots(self) -> int:
+        """Number of requests that the upstream runs concurrently."""
+        return self.concurrency.value
+
+    def set_slots(self, slots: int) -> None:
+        """Applies a changed number of announced slots."""
+        self.concurrency.set_slots(slots)
+
     @property
     def running(self) -> int:
         """Number of requests in slots."""
@@ -207,6 +220,7 @@
             errors.RequestError: The request is refused.
         """
         self._last_number += 1
+        self.concurrency.relax(now_s)
         self._rates.setdefault(request.priority, event_rates.EventRate()).add(
             now_s
         )
@@ -228,7 +242,8 @@
         )
 
     def _start(self, now_s: float, ticket: Ticket) -> None:
-        self._running.add(ticket.number)
+        run = self.concurrency.start(len(self._running) + 1)
+        self._running[ticket.number] = run
         self.limit.on_request(now_s)
 
     def _limit_delay_s(
@@ -258,7 +273,12 @@
         return ticket.number in self._running
 
     def release(
-        self, ticket: Ticket, ran_s: float | None = None, aborted: bool = False
+        self,
+        ticket: Ticket,
+        ran_s: float | None = None,
+        aborted: bool = False,
+        now_s: float | None = None,
+        elsewhere_s: float = 0.0,
     ) -> None:
         """Removes a request from its slot or from the queue.
 
@@ -269,12 +289,26 @@
             aborted: Whether the run was aborted, so that `ran_s` is a lower
                 bound. Without these runs, an upstream too slow to answer in
                 time would seem as fast as before.
+            now_s: Monotonic time in seconds; None if the run does not count
+                for the learned limit.
+            elsewhere_s: Part of the run time by which calls to other services
+                took longer than usual, in seconds.
         """
-        self._running.discard(ticket.number)
+        running = len(self._running)
+        run = self._running.pop(ticket.number, None)
         self._waiting = [t for t in self._waiting if t.number != ticket.number]
         if ran_s is None:
             return
         request = ticket.request
+        if run is not None and now_s is not None:
+            self.concurrency.end(
+                now_s,
+                run,
+                running,
+                request.route,
+                max(MIN_OWN_SHARE * ran_s, ran_s - elsewhere_s),
+                aborted,
+            )
         new = _Average(self._initial_run_s(request))
         averages = [self._run_s.setdefault(request.route, new), self._mean]
         for average in averages:
@@ -286,6 +320,7 @@
     def keep_only(self, routes: set[ids.RouteName]) -> None:
         """Discards the run times of removed routes."""
         self._run_s = {k: v for k, v in self._run_s.items() if k in routes}
+        self.concurrency.keep_only(routes)
 
     def start_queued(self, now_s: float) -> tuple[list[Ticket], list[Ticket]]:
         """Assigns free slots to waiting requests.
@@ -319,7 +354,7 @@
 
     def wait_s(self, requests_ahead: int) -> float:
         """Returns the expected wait behind a queue length, in seconds."""
-        slots = max(1, self.slots)
+        slots = max(1, self.concurrency.expected)
         excess = len(self._running) + requests_ahead - self.slots + 1
         return max(0, excess) * self._mean.value / slots
 
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -98,6 +98,8 @@
         self._stopping = False
         # Whether admission was closed at the last on_admission_change call.
         self._reported_closed = False
+        # Whether the learned limit was below the slots when last logged.
+        self._is_slowed = False
         # Whether this process has a response of the current lifetime.
         self._has_response = False
         self._start_timer: asyncio.TimerHandle | None = None
@@ -249,7 +251,7 @@
                 warmup_left_s=announcement.warmup_left_s,
             )
         elif change is not lifetimes.Change.NOTHING:
-            self.queue.slots = announcement.slots
+            self.queue.set_slots(announcement.slots)
             self.queue.warming = announcement.warmup_left_s > 0
         self._on_lifetime_change(change)
         return change
@@ -296,7 +298,7 @@
         change = self.lifetimes.infer_from_health(instance, slots, address)
         if change is lifetimes.Change.NEW_LIFETIME:
             _logger.info("upstream_assumed", instance=instance, slots=slots)
-            self.queue.slots = slots
+            self.queue.set_slots(slots)
             self._apply_limit(health.limit_per_s)
 
     def _on_lifetime_change(self, change: lifetimes.Change) -> None:
@@ -444,7 +446,8 @@
                 # upstream can fail much faster than it serves.
                 ran = arrived and not failed
                 ran_s = loop.time() - started_s if ran else None
-                self.queue.release(ticket, ran_s, aborted)
+                self.queue.release(ticket, ran_s, aborted, loop.time())
+                self._log_concurrency()
                 self._start_queued()
             if suspected:
                 self._suspect_runs.release()
@@ -572,6 +575,18 @@
             )
             self._start_queued()
 
+    def _log_concurrency(self) -> None:
+        """Logs when the learned limit falls below the slots, or is over."""
+        concurrency = self.queue.concurrency
+        if concurrency.is_lowered is self._is_slowed:
+            return
+        self._is_slowed = concurrency.is_lowered
+        _logger.info(
+            "upstream_concurrency",
+            limit=concurrency.value,
+            slots=concurrency.slots,
+        )
+
     def _closed_reason(self) -> str:
         if self.lifetimes.needs_health_check:
             return "the upstream's health is not known yet"
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -211,6 +211,10 @@
             "buckthorn_body_bytes", lambda: body_budget.used
         )
         self.meter.register_gauge("buckthorn_ready", lambda: int(self.ready))
+        self.meter.register_gauge(
+            "buckthorn_upstream_concurrency",
+            lambda: self.ingress.queue.slots,
+        )
         self.meter.register_gauge(
             "buckthorn_upstream_limit",
             lambda: (
--- a/packages/standins/buckthorn_standins/mesh_model.py
+++ b/packages/standins/buckthorn_standins/mesh_model.py
@@ -499,7 +499,9 @@
             if exc is not None or late and route.per_s:
                 self.wasted_s += ran_s
             failed = exc is not None and not aborted
-            model.queue.release(ticket, None if failed else ran_s, aborted)
+            model.queue.release(
+                ticket, None if failed else ran_s, aborted, self._now_s
+            )
             load = model.load(self._now_s)
 
             def back() -> None:
