Learn how many requests an instance runs at once, where it is asked for

Cause: an instance that thrashes beyond part of its announced slots got all of them, and completed fewer runs the more it got.

--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -111,6 +111,8 @@
         self._stopping = False
         # Whether admission was closed at the last on_admission_change call.
         self._reported_closed = False
+        # Whether the learned limit was below the slots when last logged.
+        self._is_slowed = False
         # Whether this process has a response of the current lifetime.
         self._has_response = False
         self._start_timer: asyncio.TimerHandle | None = None
@@ -121,7 +123,7 @@
         self.health_path_known = asyncio.Event()
         self.version = 0
         self.boot_id = f"{cfg.daemon}/{uuid.uuid4().hex[:12]}"
-        self.queue = slot_queues.SlotQueue()
+        self.queue = slot_queues.SlotQueue(0, cfg.learns_concurrency)
         self.lifetimes = lifetimes.LifetimeTracker()
 
     @property
@@ -266,7 +268,7 @@
                 warmup_left_s=announcement.warmup_left_s,
             )
         elif change is not lifetimes.Change.NOTHING:
-            self.queue.slots = announcement.slots
+            self.queue.set_slots(announcement.slots)
             self.queue.warming = announcement.warmup_left_s > 0
         self._on_lifetime_change(change)
         return change
@@ -313,7 +315,7 @@
         change = self.lifetimes.infer_from_health(instance, slots, address)
         if change is lifetimes.Change.NEW_LIFETIME:
             _logger.info("upstream_assumed", instance=instance, slots=slots)
-            self.queue.slots = slots
+            self.queue.set_slots(slots)
             self._apply_limit(health.limit_per_s)
 
     def _on_lifetime_change(self, change: lifetimes.Change) -> None:
@@ -518,7 +520,8 @@
                 # upstream can fail much faster than it serves.
                 ran = arrived and not failed
                 ran_s = loop.time() - started_s if ran else None
-                self.queue.release(ticket, ran_s, aborted)
+                self.queue.release(ticket, ran_s, aborted, loop.time())
+                self._log_concurrency()
                 self._start_queued()
             if suspected:
                 self._suspect_runs.release()
@@ -646,6 +649,18 @@
             )
             self._start_queued()
 
+    def _log_concurrency(self) -> None:
+        """Logs when the learned limit falls below the slots, or is over."""
+        concurrency = self.queue.concurrency
+        if concurrency.is_lowered is self._is_slowed:
+            return
+        self._is_slowed = concurrency.is_lowered
+        _logger.info(
+            "upstream_concurrency",
+            limit=concurrency.value,
+            slots=concurrency.slots,
+        )
+
     def _closed_reason(self) -> str:
         if self.lifetimes.needs_health_check:
             return "the upstream's health is not known yet"
--- a/packages/sidecar/buckthorn_sidecar/settings.py
+++ b/packages/sidecar/buckthorn_sidecar/settings.py
@@ -46,6 +46,8 @@
         canary_slack: Requests that it may get in addition.
         rollback_s: Time from the 50th bad response of a version until no daemon
             uses it any more, in seconds.
+        learns_concurrency: Whether the upstream gets fewer requests at once
+            than it announces slots while its run times rise with their number.
         max_descriptors: Most descriptors that the process may open; 0 for the
             limit that the system sets.
     """
@@ -73,4 +75,5 @@
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_s: float = 5.0
+    learns_concurrency: bool = False
     max_descriptors: int = 0
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -268,6 +268,10 @@
             "buckthorn_caller_connections", lambda: len(self.callers.conns)
         )
         self.meter.register_gauge("buckthorn_ready", lambda: int(self.ready))
+        self.meter.register_gauge(
+            "buckthorn_upstream_concurrency",
+            lambda: self.ingress.queue.slots,
+        )
         self.meter.register_gauge(
             "buckthorn_upstream_limit",
             lambda: (
