--- a/packages/sidecar/buckthorn_sidecar/caps.py
+++ b/packages/sidecar/buckthorn_sidecar/caps.py
@@ -103,6 +103,7 @@
         self._sends: set[asyncio.Task[None]] = set()
         self._last_probe_s = 0.0
         self._old_members = 0
+        self._has_caps = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         pool.on_token_reply = self._on_reply
         server.on_token_request = self._on_request
@@ -167,6 +168,11 @@
     def on_version(self, version: virtual_hosts.Version) -> None:
         """Puts the rate limits of a version in force."""
         self._caps = cap_shards.caps_of(version.workspaces)
+        if self._caps:
+            self._has_caps.set()
+        else:
+            self._has_caps.clear()
+            self._old_members = 0
         for ticket in self._borrower.set_caps(self._caps):
             self._resolve(ticket, None)
         if self._holders is not None:
@@ -421,6 +427,7 @@
 
     async def _run(self) -> None:
         while True:
+            await self._has_caps.wait()
             try:
                 self._check(self._now_s())
             except Exception:
@@ -431,8 +438,6 @@
     def _check(self, now_s: float) -> None:
         assert self._records is not None and self._holders is not None
         self._check_members()
-        if not self._caps:
-            return
         self._records.check(now_s)
         self._holders.check(now_s)
         self._borrower.set_distances(self._distances())
@@ -464,9 +469,7 @@
 
     def _check_members(self) -> None:
         """Reports members that don't keep rate limits."""
-        old = 0
-        if self._caps:
-            old = sum(not r.keeps_caps for r in self._directory.registrations)
+        old = sum(not r.keeps_caps for r in self._directory.registrations)
         if bool(old) != bool(self._old_members):
             if old:
                 _logger.warning("caps_not_guaranteed", members=old)
