Review stand-ins: look for free ports at loopback addresses only

Cause: the search for free ports bound a socket to all addresses.

Change: it binds to the addresses of the hosts.

--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -30,6 +30,8 @@
 DEPS = ROOT / "target" / "deps"
 PREFIX = "X-Buckthornstack-"
 OK, BROKEN, NOT_RUN = 0, 1, 2
+# Addresses of hosts, in the order in which they are added.
+HOST_IPS = tuple(f"127.0.0.{n}" for n in range(21, 41))
 # Bounds of the small deployments, as their settings state them.
 BOUNDS = (
     "seedLag=3s", "reuseAfter=2s", "stabilityWindow=3000ms", "ack=4000ms",
@@ -557,6 +559,20 @@
         return reply
 
 
+def _free_port():
+    """Returns a port that no address uses; None if one found is in use."""
+    with contextlib.ExitStack() as stack:
+        port = 0
+        for ip in ("127.0.0.1", *HOST_IPS):
+            sock = stack.enter_context(socket.socket())
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                return None
+            port = sock.getsockname()[1]
+        return port
+
+
 class Lab:
     """A small deployment on loopback addresses."""
 
@@ -575,15 +591,12 @@
         self._hosts = 0
 
     def _free_ports(self, names):
-        """Returns ports that are free at all addresses."""
-        ports, socks = {}, []
-        for name in names:
-            sock = socket.socket()
-            sock.bind(("0.0.0.0", 0))
-            socks.append(sock)
-            ports[name] = sock.getsockname()[1]
-        for sock in socks:
-            sock.close()
+        """Returns ports that are free at the addresses of all hosts."""
+        ports = {}
+        while len(ports) < len(names):
+            port = _free_port()
+            if port is not None and port not in ports.values():
+                ports[names[len(ports)]] = port
         return ports
 
     def add_host(
@@ -596,8 +609,8 @@
         slots=18,
         instance=None,
     ):
+        ip = ip or HOST_IPS[self._hosts]
         self._hosts += 1
-        ip = ip or f"127.0.0.{20 + self._hosts}"
         app = Instance(self.record, ip, service, instance or f"i-{name}", slots)
         self.closables.append(app)
         return Host(self, name, ip, app, zone, region)
