--- a/review/6/case.py
+++ b/review/6/case.py
@@ -60,7 +60,9 @@
     """Stops and starts a host's daemon; returns the bookings that were cut."""
     for other in hosts:
         other.instance.work_s = 0.02
-    staying = [keep(host, f"k{turn}-{n}") for n in range(STAYING - BOOKINGS)]
+    staying = [
+        keep(lab, host, f"k{turn}-{n}") for n in range(STAYING - BOOKINGS)
+    ]
     address = host.outbound.split(":")
     leaver = subprocess.Popen(
         [
@@ -74,6 +76,10 @@
     )
     lab.processes.append(leaver)
     labs.wait_for(leaver.stdout.readline, what="clients")
+    lab.record.add(
+        f"client program at {host.name}: {LEAVING} connections x{turn}-0 to"
+        f" x{turn}-{LEAVING - 1}, two requests sent on each, no answer read"
+    )
     for other in hosts:
         other.instance.work_s = RUN_S
     replies = {}
@@ -115,7 +121,7 @@
     ]
 
 
-def keep(host, request_id):
+def keep(lab, host, request_id):
     """Returns a kept connection whose request has been answered."""
     ip, port = host.outbound.split(":")
     sock = labs.socket.create_connection((ip, int(port)), 2.0)
@@ -131,7 +137,9 @@
         )
     )
     with sock.makefile("rb") as stream:
-        labs.read_reply(stream)
+        reply = labs.read_reply(stream)
+    text = reply.status or reply.reason
+    lab.record.add(f"client at {host.name}: {request_id} -> {text}, kept")
     return sock
 
 
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -257,7 +257,8 @@
     Attributes:
         work_s: How long it works on a request.
         leaving: Whether it is leaving; its health check then fails.
-        lies: Whether its health check passes all the same.
+        lies: Whether its health check passes all the same, and it answers all
+            requests with 500.
         runs: Requests that it began to run, in order.
     """
 
@@ -323,7 +324,7 @@
             call.close_connection = True
             return
         call.reply(
-            200,
+            500 if self.lies else 200,
             self.answer_body(run),
             [echo, (PREFIX + "Response-Signature", f"sig-{request_id}")],
         )
@@ -646,7 +647,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes:
-            process.wait(10)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(10)
         for closable in self.closables:
             with contextlib.suppress(Exception):
                 closable.close()
@@ -683,7 +685,10 @@
         case: Takes the lab; returns the breaches that it saw.
         folder: Where record.txt is written.
     """
+    # A script that is told to end still ends what it has started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     lab = Lab(folder)
+    status = NOT_RUN
     try:
         if not (ROOT / "target" / "app" / "buckthornd.py").exists():
             raise CaseError("the deploy file is not built")
@@ -694,7 +699,8 @@
         lab.record.add(
             f"result: {'the rule is broken' if breaches else 'held'}"
         )
-    except (CaseError, OSError, subprocess.SubprocessError) as exc:
+    except Exception as exc:
+        # Only a breach may look like one.
         lab.record.add(f"result: could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr)
         status = NOT_RUN
