Keep an error of one caller's connection from ending others' work

Cause: a drain half-closes idle connections. On a connection that its client has reset, shutdown() fails with ENOTCONN while the event loop has not read the reset, and asyncio raises that from write_eof. It passed through Listener.drain, Sidecar.drain and the program, which ended with status 1. The same call in the periodic check ended the check.

Evidence: the log of a stopped daemon ends with that traceback.

Change: ResponseWriter alone writes to, half-closes and closes a caller's connection. A failed half-close closes that connection and is counted in buckthorn_callers_reset. Loops over connections and the steps of a planned stop go on after an unexpected exception, which is logged.

Why it works: a system call that can fail at any moment is made in one place, which ends one connection and raises nothing.

--- a/packages/adapters/buckthorn_adapters/metric_names.py
+++ b/packages/adapters/buckthorn_adapters/metric_names.py
@@ -53,6 +53,9 @@
     "buckthorn_callers_refused": (
         "Callers' requests that were refused for want of memory, not run"
     ),
+    "buckthorn_callers_reset": (
+        "Connections that their callers had reset when they were ended"
+    ),
     "buckthorn_catch_ups": "Versions pulled after a peer was seen to be ahead",
     "buckthorn_claim": "Duration of claims of operation keys",
     "buckthorn_claims": "Claims of operation keys, by verdict",
--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -23,18 +23,15 @@
 from buckthorn_core import virtual_hosts
 from buckthorn_sidecar import acceptors
 from buckthorn_sidecar import caller_guards
+from buckthorn_sidecar import response_writers
 from buckthorn_sidecar import settings
 
 # Reading pauses while this many pipelined requests wait for their responses.
 MAX_PIPELINED_REQUESTS = 64
-# Time for a caller to read the last response before the connection is closed.
-CLOSE_LINGER_S = 1.0
 # How often connections are checked for timeouts, in seconds.
 CHECK_INTERVAL_S = 0.5
-# Bytes that are parsed, and written, at a time. In between, reading or writing
-# can pause.
+# Bytes that are parsed at a time. In between, reading can pause.
 PARSE_SIZE = 16_384
-WRITE_SIZE = http1.MAX_JOINED_BODY_BYTES
 # Reading pauses while more bytes of a connection's responses are not written.
 MAX_UNWRITTEN_BYTES = 262_144
 
@@ -79,6 +76,7 @@
     def __init__(self, listener: "Listener"):
         self._listener = listener
         self._transport: Any = None
+        self._writer: response_writers.ResponseWriter
         self._pending: collections.deque[_PendingResponse] = collections.deque()
         self._loop = asyncio.get_running_loop()
         limits = listener.limits
@@ -95,7 +93,6 @@
         self.last_activity_s = self._loop.time()
         self.has_sent = False
         self._request_started_s = self.last_activity_s
-        self._closing = False
         self._is_freed = False
         self._last_request_read = False
         # Received bytes that were not parsed before reading paused.
@@ -103,15 +100,6 @@
         self._reading_paused = False
         self._received_bytes = 0
         self._receiving = transfer_rates.TransferRate(self.last_activity_s)
-        # What the transport has not taken yet, and its size with that of
-        # responses that wait for earlier ones.
-        self._unwritten: collections.deque[memoryview] = collections.deque()
-        self._unwritten_bytes = 0
-        self._writing_paused = False
-        self._written_bytes = 0
-        # Whether a check has found bytes that were not sent.
-        self._is_sending = False
-        self._sending = transfer_rates.TransferRate(self.last_activity_s)
         self._held_bytes = 0
 
     @property
@@ -120,13 +108,13 @@
         return (
             bool(self._pending)
             or self._parser.in_message
-            or self._unsent_bytes > 0
+            or self._writer.unsent_bytes > 0
         )
 
     @property
     def incomplete(self) -> bool:
         """Whether part of a request has been received."""
-        return self._parser.in_message and not self._closing
+        return self._parser.in_message and self._is_open
 
     @property
     def held_bytes(self) -> int:
@@ -134,17 +122,17 @@
         return self._held_bytes
 
     @property
-    def _unsent_bytes(self) -> int:
-        size = self._unwritten_bytes
-        if self._transport is not None:
-            size += self._transport.get_write_buffer_size()
-        return size
+    def _is_open(self) -> bool:
+        """Whether responses may be written."""
+        return self._writer.state is response_writers.State.OPEN
 
     def connection_made(self, transport: Any) -> None:
         """Stores the transport and sets the socket options."""
         self._transport = transport
         http1.set_socket_options(transport)
-        transport.set_write_buffer_limits(WRITE_SIZE)
+        self._writer = response_writers.ResponseWriter(
+            transport, self._listener.meter
+        )
         peer = transport.get_extra_info("peername")
         self.peer = str(peer[0]) if peer else ""
         self._listener.conns.add(self)
@@ -159,10 +147,9 @@
 
     def _free(self) -> None:
         """Frees what the connection takes; nothing is sent any more."""
-        self._closing = self._is_freed = True
+        self._is_freed = True
         self._unparsed = b""
-        self._unwritten.clear()
-        self._unwritten_bytes = 0
+        self._writer.close()
         self._parser.close()
         self._held_bytes = 0
         self._listener.body_budget.hold(self, 0)
@@ -185,7 +172,7 @@
         size = (
             connection_limits.CONNECTION_BYTES
             + len(self._unparsed)
-            + self._unsent_bytes
+            + self._writer.unsent_bytes
         )
         if size != self._held_bytes:
             self._held_bytes = size
@@ -193,7 +180,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data into requests."""
-        if self._closing or self._last_request_read:
+        if self._ignores_data:
             return
         self.has_sent = True
         self.last_activity_s = self._loop.time()
@@ -232,14 +219,14 @@
 
     @property
     def _ignores_data(self) -> bool:
-        return self._closing or self._last_request_read
+        return self._last_request_read or not self._is_open
 
     def _update_reading(self) -> None:
         """Pauses or resumes reading."""
         pause = not self._ignores_data and (
             self.held_since_s is not None
             or len(self._pending) >= MAX_PIPELINED_REQUESTS
-            or self._unwritten_bytes > MAX_UNWRITTEN_BYTES
+            or self._writer.waiting_bytes > MAX_UNWRITTEN_BYTES
         )
         if pause is self._reading_paused:
             return
@@ -264,7 +251,7 @@
 
     def _on_expect(self) -> None:
         if not self._pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._writer.write_interim(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_request(self, req: http1.Request) -> None:
         if self._ignores_data:
@@ -305,10 +292,9 @@
         except Exception:
             _logger.exception("request_handler_failed")
             status, headers, body = 500, [], b"internal error\n"
-        if len(
-            body
-        ) > WRITE_SIZE and not self._listener.guard.has_room_for_response(
-            len(body)
+        if (
+            len(body) > response_writers.WRITE_SIZE
+            and not self._listener.guard.has_room_for_response(len(body))
         ):
             status, headers, body = error_response(
                 errors.RequestError(
@@ -334,41 +320,34 @@
         """
         if size is None:
             size = sum(map(len, self._pending[-1].data or ()))
-        self._unwritten_bytes += size
+        self._writer.add_waiting(size)
         while self._pending and self._pending[0].data is not None:
             data = self._pending.popleft().data
             assert data is not None
-            self._unwritten.extend(map(memoryview, data))
+            self._writer.write(data)
         self.last_activity_s = self._loop.time()
-        self._write()
-
-    def _write(self) -> None:
-        """Writes until the transport's buffer is full."""
-        while self._unwritten and not self._writing_paused:
-            data = self._unwritten.popleft()
-            if len(data) > WRITE_SIZE:
-                self._unwritten.appendleft(data[WRITE_SIZE:])
-                data = data[:WRITE_SIZE]
-            self._unwritten_bytes -= len(data)
-            self._written_bytes += len(data)
-            self._transport.write(data)
+        self._writer.flush()
+        self._on_written()
+
+    def _on_written(self) -> None:
+        """Reads on, or ends the connection after its last response."""
         self._update_held_bytes()
         self._update_reading()
         if (
             self._last_request_read
             and not self._pending
-            and not self._unwritten
+            and self._writer.all_written
         ):
-            self._close_gracefully()
+            self._writer.end()
 
     def pause_writing(self) -> None:
         """Stops writing, since the transport's buffer is full."""
-        self._writing_paused = True
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Writes on, since the transport's buffer has emptied."""
-        self._writing_paused = False
-        self._write()
+        self._writer.resume()
+        self._on_written()
 
     def _refuse_and_close(self, exc: errors.RequestError) -> None:
         """Sends an error after the pending responses, then closes."""
@@ -384,23 +363,13 @@
         self._parser.close()
         self._write_ready()
 
-    def _close_gracefully(self) -> None:
-        # Closing a socket with unread data resets the connection, and a reset
-        # can discard the response before the caller has read it.
-        if self._closing:
-            return
-        self._closing = True
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._loop.call_later(CLOSE_LINGER_S, self._transport.close)
-
     def check(self, now_s: float) -> None:
         """Closes the connection on a header or idle timeout, or if stalled."""
         limits = self._listener.limits
         if self._is_response_stalled(now_s, limits.idle_timeout_s):
             self.close_stalled()
             return
-        if self._closing:
+        if not self._is_open:
             return
         if self._parser.in_headers and self.held_since_s is None:
             if now_s - self._request_started_s > limits.header_timeout_s:
@@ -415,7 +384,7 @@
             not self.busy
             and now_s - self.last_activity_s > limits.idle_timeout_s
         ):
-            self._transport.close()
+            self._writer.close_idle()
 
     def is_body_stalled(self, now_s: float, grace_s: float) -> bool:
         """Returns whether a body came too slowly for a time, in seconds."""
@@ -433,25 +402,15 @@
         ) or self._is_response_stalled(now_s, grace_s)
 
     def _is_response_stalled(self, now_s: float, grace_s: float) -> bool:
-        if self._unsent_bytes == 0:
-            self._is_sending = False
-            return False
-        self._update_held_bytes()
-        taken = (
-            self._written_bytes
-            - self._transport.get_write_buffer_size()
-            - http1.unacknowledged_bytes(self._transport)
-        )
-        if not self._is_sending:
-            self._is_sending = True
-            self._sending.reset(now_s, taken)
-        return self._sending.is_stalled(now_s, taken, grace_s)
+        if self._writer.unsent_bytes:
+            self._update_held_bytes()
+        return self._writer.is_slow(now_s, grace_s)
 
     @property
     def stalled_since_s(self) -> float:
         """Since when the caller has sent or read too slowly."""
-        if self._unsent_bytes:
-            return self._sending.since_s
+        if self._writer.unsent_bytes:
+            return self._writer.slow_since_s
         return self._receiving.since_s
 
     def close_stalled(self) -> None:
@@ -460,7 +419,7 @@
         A request that is not complete was not run, and is refused.
         """
         self._listener.guard.count_closed()
-        if self._unsent_bytes or not self.incomplete:
+        if self._writer.unsent_bytes or not self.incomplete:
             self.close()
             return
         self._refuse_and_close(
@@ -482,11 +441,10 @@
         if not self._parser.in_message:
             self._last_request_read = True
         if not self.busy:
-            self._close_gracefully()
+            self._writer.end()
 
     def close(self) -> None:
         """Closes the connection at once."""
-        self._transport.abort()
         self._free()
 
 
@@ -500,6 +458,7 @@
         body_budget: Limits the memory of callers' requests and responses.
         conns: The open connections.
         guard: Keeps callers from taking all memory and connections.
+        meter: Counts what callers are refused; None to count nothing.
     """
 
     def __init__(
@@ -525,6 +484,7 @@
         self.body_budget = body_budget or byte_budgets.ByteBudget()
         self.limits = DEFAULT_LIMITS
         self.draining = False
+        self.meter = meter
         self.conns: set[ListenerConnection] = set()
         self.acceptor = acceptors.Acceptor(
             lambda: ListenerConnection(self),
@@ -559,8 +519,7 @@
     def drain(self) -> None:
         """Closes each connection after its pending responses."""
         self.draining = True
-        for conn in list(self.conns):
-            conn.drain()
+        self._for_each(ListenerConnection.drain)
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
@@ -571,16 +530,26 @@
         self.stop_listening()
         if self._check_task is not None:
             self._check_task.cancel()
+        self._for_each(ListenerConnection.close)
+
+    def _for_each(self, action: Callable[[ListenerConnection], None]) -> None:
+        """Calls an action with each connection; closes those that fail."""
         for conn in list(self.conns):
-            conn.close()
+            try:
+                action(conn)
+            except Exception:
+                _logger.exception("caller_connection_failed", peer=conn.peer)
+                conn.close()
 
     async def _check(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            for conn in list(self.conns):
-                conn.check(loop.time())
-            self.guard.check(loop.time())
+            self._for_each(lambda conn: conn.check(loop.time()))
+            try:
+                self.guard.check(loop.time())
+            except Exception:
+                _logger.exception("caller_guard_failed")
 
 
 def memory_short_error() -> errors.RequestError:
--- a/packages/sidecar/buckthorn_sidecar/sidecar.py
+++ b/packages/sidecar/buckthorn_sidecar/sidecar.py
@@ -1,6 +1,7 @@
 """Assembles a sidecar and controls its start, drain and stop."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import math
 import os
@@ -319,15 +320,20 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._cfg.grace_s - SHUTDOWN_RESERVE_S
         self._stopping = True
-        self._caps.drain()
-        self.callers.drain()
+        with _drain_step("caps"):
+            self._caps.drain()
+        with _drain_step("callers"):
+            self.callers.drain()
         if self.ingress.lifetimes.state is lifetimes.UpstreamState.GONE:
-            await self._withdraw()
+            with _drain_step("registration"):
+                await self._withdraw()
         await asyncio.sleep(READINESS_PROPAGATION_S)
         # Connections that are open may still bring requests.
         self._egress.stops_at_s = end_s
-        self.ingress.stop_admitting()
-        self.callers.stop_listening()
+        with _drain_step("admission"):
+            self.ingress.stop_admitting()
+        with _drain_step("listening"):
+            self.callers.stop_listening()
         # Requests that other daemons sent before they learned of the drain
         # still get their responses.
         await asyncio.sleep(PEER_NOTICE_S)
@@ -564,6 +570,18 @@
         self._caps.on_version(version)
 
 
+@contextlib.contextmanager
+def _drain_step(name: str) -> Iterator[None]:
+    """Logs an unexpected exception of a step.
+
+    Without it the process would end with the requests that are in flight.
+    """
+    try:
+        yield
+    except Exception:
+        _logger.exception("drain_step_failed", step=name)
+
+
 def _max_descriptors(configured: int) -> int:
     """Returns the most descriptors: the host's or the process's limit."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -542,6 +542,10 @@
     def running(self):
         return self._process.poll() is None
 
+    def exit_status(self):
+        """Returns the exit status of the daemon once it has ended."""
+        return self._process.wait(WAIT_S)
+
     def readiness(self):
         """Returns the status of the readiness check; None if unanswered."""
         conn = http.client.HTTPConnection(self.ports["ready"], timeout=1)
--- a/tests/sidecar/test_listeners.py
+++ b/tests/sidecar/test_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -269,3 +270,131 @@
 
     assert caller_guards.IDLE_S < 15.0
     asyncio.run(run())
+
+
+def reset(sock):
+    """Closes a client's socket so that the system sends a reset."""
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    sock.close()
+
+
+async def keep_connections(server, count):
+    """Returns clients' sockets whose first request has been answered."""
+    socks = []
+    for _ in range(count):
+        sock = socket.create_connection(("127.0.0.1", server.port))
+        socks.append(sock)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, GET)
+        assert await loop.sock_recv(sock, 1_024)
+    return socks
+
+
+def test_clients_that_reset_do_not_end_a_drain():
+    """Guards against a planned stop that ends at the first reset connection.
+
+    The event loop has not read the resets when the drain ends the connections.
+    """
+
+    async def run():
+        async with Server() as server:
+            socks = await keep_connections(server, 8)
+            release = asyncio.Event()
+
+            async def handle(req):
+                await release.wait()
+                return await server.handle(req)
+
+            server.listener.handler = handle
+            reader, _ = await server.connect(GET)
+            while not any(conn.busy for conn in server.listener.conns):
+                await asyncio.sleep(0.01)
+            for sock in socks[::2]:
+                reset(sock)
+            server.listener.drain()
+            release.set()
+            assert await status_of(reader) == 200
+            async with asyncio.timeout(5.0):
+                while server.listener.conns:
+                    await asyncio.sleep(0.01)
+            for sock in socks[1::2]:
+                assert sock.recv(1) == b""
+                sock.close()
+
+    asyncio.run(run())
+
+
+def test_held_clients_that_leave_do_not_end_the_checks():
+    """Guards against timeouts that no longer apply to anyone.
+
+    The listener does not see that a client has left while it does not read, so
+    the refusal of the held request meets a closed connection.
+    """
+
+    async def run():
+        budget = byte_budgets.ByteBudget(1_000_000)
+        async with Server(budget=budget) as server:
+            _, writer = await server.connect(HEAD % 900_000)
+            writer.write(820_000 * b"x")
+            while budget.used < 820_000:
+                await asyncio.sleep(0.01)
+            socks = []
+            for _ in range(4):
+                sock = socket.create_connection(("127.0.0.1", server.port))
+                sock.sendall(HEAD % 100_000 + 10_000 * b"y")
+                socks.append(sock)
+            reader, _ = await server.connect(HEAD % 100_000 + 10_000 * b"y")
+            async with asyncio.timeout(5.0):
+                while (
+                    sum(c.held_since_s is not None for c in listed(server)) < 5
+                ):
+                    await asyncio.sleep(0.01)
+            for sock in socks:
+                sock.close()
+            assert await status_of(reader) == 503
+            server.listener.limits = short_limits(1.0)
+            slow, _ = await server.connect(b"GET / HTTP/1.1\r\n")
+            assert await status_of(slow) == 408
+
+    asyncio.run(run())
+
+
+def listed(server):
+    return list(server.listener.conns)
+
+
+@pytest.mark.parametrize("step", ["check", "drain"])
+def test_a_failure_of_one_connection_ends_only_that_one(monkeypatch, step):
+    """Guards against a defect at one connection that leaves others alone."""
+
+    async def run():
+        async with Server() as server:
+            server.listener.limits = virtual_hosts.CallerLimits(
+                16_384, MEGABYTE, 0.5, 60.0
+            )
+            socks = await keep_connections(server, 3)
+            broken = listed(server)[1]
+            unbroken = getattr(listeners.ListenerConnection, step)
+
+            def fail(conn, *args):
+                if conn is broken:
+                    raise ValueError("defect")
+                unbroken(conn, *args)
+
+            monkeypatch.setattr(listeners.ListenerConnection, step, fail)
+            if step == "drain":
+                server.listener.drain()
+                async with asyncio.timeout(5.0):
+                    while server.listener.conns:
+                        await asyncio.sleep(0.01)
+            else:
+                slow, _ = await server.connect(b"GET / HTTP/1.1\r\n")
+                assert await status_of(slow) == 408
+                assert broken not in server.listener.conns
+            for sock in socks:
+                sock.close()
+
+    asyncio.run(run())
