Bound the memory of responses by what they take, not by their bytes

What callers saw: on a host of 200 MB the daemon ended by itself when its instance answered without end, and all other requests on the host with it.

Cause: the body of a response was a list with an object for each chunk, so 8 MB in chunks of two bytes took 215 MB. Trailers were kept as headers, two strings and a tuple each, and were allowed 8 bytes for each byte of the body. Answers that are kept for 6 s counted without their headers.

Change: the body is one buffer, as that of a request. Headers and trailers count with their objects, up to 64 KiB a response, and trailers are dropped. Kept answers count with their headers.

Why it works: what is counted is what is kept. The same 8 MB take 8 MB.

--- a/packages/adapters/buckthorn_adapters/http1.py
+++ b/packages/adapters/buckthorn_adapters/http1.py
@@ -26,6 +26,7 @@
 
 # Limits of the bytes of a response that are not body: the heads of interim and
 # final responses, and chunk framing, which takes five bytes for a chunk of one.
+# The first also limits the memory of each response's headers and trailers.
 MAX_RESPONSE_OVERHEAD_BYTES = 65_536
 CHUNK_OVERHEAD_PER_BODY_BYTE = 8
 # Bytes of a body that are written at once.
@@ -126,6 +127,11 @@
     return hop_headers.end_to_end(headers, "content-length")
 
 
+def header_bytes(headers: Headers) -> int:
+    """Returns the memory that headers take, in bytes."""
+    return sum(len(k) + len(v) + HEADER_BYTES for k, v in headers)
+
+
 def encode_request(
     method: str, target: str, headers: Headers, body: bytes
 ) -> bytes:
@@ -456,8 +462,9 @@
         self._transport: Any = None
         self._parser: Any = httptools.HttpResponseParser(self)
         self._response = Response()
-        self._body_pieces: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, since an object for each chunk of a byte would take 50.
+        self._body = bytearray()
+        self._header_bytes = 0
         self._completed_responses: list[Response] = []
         self._head_only = False
         self._has_explicit_length = False
@@ -497,18 +504,28 @@
     def on_message_begin(self) -> None:
         """Starts a new response."""
         self._response = Response()
-        self._body_pieces = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._header_bytes = 0
         if self._excludes_body:
             raise MalformedResponseError("status 304 with a body")
         self._in_message = True
         self._in_headers = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header to the response."""
-        self._response.headers.append(
-            (_decode_latin1(name), _decode_latin1(value))
-        )
+        """Adds a header to the response; drops a trailer.
+
+        Raises:
+            MalformedResponseError: There are too many.
+        """
+        self._header_bytes += len(name) + len(value) + HEADER_BYTES
+        if self._header_bytes > MAX_RESPONSE_OVERHEAD_BYTES:
+            raise MalformedResponseError(
+                f"headers of over {MAX_RESPONSE_OVERHEAD_BYTES} bytes"
+            )
+        if self._in_headers:
+            self._response.headers.append(
+                (_decode_latin1(name), _decode_latin1(value))
+            )
 
     def on_headers_complete(self) -> None:
         """Checks the status and determines how the response ends.
@@ -544,10 +561,9 @@
         """Adds a piece of the body and counts it in the budget."""
         if self._close_reason is not None:
             raise MalformedResponseError(self._close_reason)
-        self._body_pieces.append(piece)
-        self._body_bytes += len(piece)
+        self._body += piece
         self._total_body_bytes += len(piece)
-        if self._body_bytes > self._max_body_bytes:
+        if len(self._body) > self._max_body_bytes:
             raise MalformedResponseError(f"over {self._max_body_bytes} bytes")
         for holder in self._body_budget.add(self, len(piece)):
             holder.abort_body()
@@ -562,7 +578,8 @@
         self._in_message = False
         if self._response.status < 200:
             return
-        self._response.body = b"".join(self._body_pieces)
+        self._response.body = bytes(self._body)
+        self._body = bytearray()
         self._completed_responses.append(self._response)
         self._has_pending_bytes = False
         self._notify_receiver()
@@ -726,7 +743,7 @@
     def close(self) -> None:
         """Aborts the connection and frees its body's budget."""
         self._body_budget.release(self)
-        self._body_pieces = []
+        self._body = bytearray()
         self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
--- a/packages/sidecar/buckthorn_sidecar/ingress.py
+++ b/packages/sidecar/buckthorn_sidecar/ingress.py
@@ -349,7 +349,7 @@
         self._outcomes.begin(req.attempt, task)
         if keeps_outcome:
             task.add_done_callback(
-                lambda done: self._complete(req.attempt, _body_bytes(done))
+                lambda done: self._complete(req.attempt, _response_bytes(done))
             )
         else:
             task.add_done_callback(lambda _: self._forget(req.attempt))
@@ -906,12 +906,14 @@
         )
 
 
-def _body_bytes(fut: "asyncio.Future[frames.Frame]") -> int:
-    """Returns the size of a response's body; 0 for other outcomes."""
+def _response_bytes(fut: "asyncio.Future[frames.Frame]") -> int:
+    """Returns the memory of a response; 0 for other outcomes."""
     if fut.cancelled() or fut.exception() is not None:
         return 0
     frame = fut.result()
-    return len(frame.body) if isinstance(frame, frames.Response) else 0
+    if not isinstance(frame, frames.Response):
+        return 0
+    return len(frame.body) + http1.header_bytes(frame.headers)
 
 
 def _priority_of(req: frames.Request) -> slot_queues.Priority:
--- a/tests/adapters/test_http1.py
+++ b/tests/adapters/test_http1.py
@@ -188,6 +188,8 @@
 
 INTERIM = b"HTTP/1.1 102 Processing\r\nX-A: %s\r\n\r\n" % (50 * b"a")
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+FIELD = b"Xa: bc\r\n"
+MEGABYTE = 1_048_576
 
 
 @pytest.mark.parametrize(
@@ -518,3 +520,64 @@
     assert budget.used > 190_000
     request_parser.close()
     assert budget.used == 0
+
+
+def _received(response_bytes):
+    """Returns a connection that has received part of a response."""
+
+    class Transport:
+        def is_closing(self):
+            return False
+
+        def get_extra_info(self, name):
+            return None
+
+        def write(self, data):
+            pass
+
+        def abort(self):
+            pass
+
+    async def run():
+        conn = http1.Connection(MEGABYTE, byte_budgets.ByteBudget())
+        conn.connection_made(Transport())
+        conn.send(http1.encode_request("GET", "/", [], b""))
+        for start in range(0, len(response_bytes), 65_536):
+            conn.data_received(response_bytes[start : start + 65_536])
+        return conn
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "response_bytes",
+    [
+        CHUNKED + 100_000 * b"2\r\nab\r\n",
+        CHUNKED + b"30d40\r\n" + 200_000 * b"x" + b"\r\n0\r\n" + 9_000 * FIELD,
+        b"HTTP/1.1 200 OK\r\n" + 8_000 * FIELD,
+    ],
+    ids=["small-chunks", "trailers", "headers"],
+)
+def test_a_response_takes_little_more_memory_than_it_counts(response_bytes):
+    """Guards against an instance that fills the memory past its budget.
+
+    Each small chunk, header and trailer took objects of its own: 27 times the
+    size of the body for chunks of two bytes.
+    """
+    tracemalloc.start()
+    try:
+        conn = _received(response_bytes)
+        taken, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del conn
+    # The body, its spare room, and what may be no body.
+    assert taken < 2 * 200_000 + 4 * http1.MAX_RESPONSE_OVERHEAD_BYTES
+
+
+def test_trailers_are_no_headers():
+    """Guards against a trailer that is taken for a header, such as an id."""
+    response_bytes = CHUNKED + b"1\r\na\r\n0\r\nX-Id: other\r\n\r\n"
+    _, [response] = asyncio.run(_exchange(response_bytes))
+    assert response.body == b"a"
+    assert response.header("x-id") is None
--- a/tests/platform/test_misbehaving_instances.py
+++ b/tests/platform/test_misbehaving_instances.py
@@ -13,6 +13,7 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 BLOCK = 65_536 * b"a"
+LONG_CHUNK = b"%x\r\n%b\r\n" % (160 * len(BLOCK), 160 * BLOCK)
 
 
 def other_responses():
@@ -39,29 +40,37 @@
     return host
 
 
-@pytest.mark.parametrize(
-    ("first", "endless"),
-    [
-        (OK + b"X-A: ", BLOCK),
-        (OK, 5_000 * b"X-A: bcd\r\n"),
-        (b"", 2_000 * b"HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n"),
-        (OK + b"\r\n", BLOCK),
-        (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n"),
-        (CHUNKED + b"1;a=", BLOCK),
-        (b"", other_responses()),
-        (b"\x00", BLOCK),
-    ],
-    ids=[
-        "header",
-        "headers",
-        "interim",
-        "body",
-        "chunks",
-        "extension",
-        "others",
-        "garbage",
-    ],
-)
+ENDLESS = {
+    "header": (OK + b"X-A: ", BLOCK),
+    "headers": (OK, 5_000 * b"X-A: bcd\r\n"),
+    "interim": (b"", 2_000 * b"HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n"),
+    "body": (OK + b"\r\n", BLOCK),
+    "chunks": (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n"),
+    "extension": (CHUNKED + b"1;a=", BLOCK),
+    "others": (b"", other_responses()),
+    "garbage": (b"\x00", BLOCK),
+    "small-chunks": (CHUNKED, 10_000 * b"2\r\nab\r\n"),
+    "trailers": (CHUNKED + LONG_CHUNK + b"0\r\n", 5_000 * b"Xa: bc\r\n"),
+}
+
+
+def kinds(*names):
+    return pytest.mark.parametrize(
+        ("first", "endless"),
+        [ENDLESS[name] for name in names],
+        ids=names,
+    )
+
+
+def flood(call, first, endless, stopped):
+    """Sends an endless response until the peer closes or the test ends."""
+    call.close_connection = True
+    call.wfile.write(first)
+    while not stopped.is_set():
+        call.wfile.write(endless)
+
+
+@kinds(*ENDLESS)
 def test_endless_responses_harm_no_other_caller(
     small_host, instance, first, endless
 ):
@@ -75,10 +84,7 @@
         if not run["path"].startswith("/browse/flood"):
             instance.answer(call, run)
             return
-        call.close_connection = True
-        call.wfile.write(first)
-        while not stopped.is_set():
-            call.wfile.write(endless)
+        flood(call, first, endless, stopped)
 
     instance.respond = respond
     results = []
@@ -102,3 +108,88 @@
     assert set(results) <= {502, 504}
     assert small_host.running()
     assert small_host.call("q-last").status == 200
+
+
+@kinds("header", "body", "small-chunks", "trailers")
+def test_endless_responses_harm_no_other_daemon(
+    small_host, new_host, new_instance, store, first, endless
+):
+    """Guards against a daemon that is filled by what another one passes on.
+
+    The caller's daemon and the one beside the instance are on small hosts.
+    """
+    orders = new_instance("orders", instance="i-2")
+    store.put(
+        "keyed.op",
+        "config",
+        standins.configuration(
+            3,
+            standins.BROWSE,
+            standins.path_entry("order", "/order/", "orders"),
+        ),
+    )
+    second = new_host("h-2", orders)
+    second.limit_memory(MEMORY_BYTES)
+    standins.wait_for(lambda: second.readiness() == 200)
+    assert orders.heartbeat(second.ports["control"]) == 200
+    standins.wait_for(
+        lambda: small_host.call("warm-up-2", "/order/1").status == 200
+    )
+    stopped = threading.Event()
+    orders.respond = lambda call, run: flood(call, first, endless, stopped)
+    statuses = []
+    threads = [
+        threading.Thread(
+            target=lambda n=n: statuses.append(
+                small_host.call(f"f-{n}", f"/order/{n}").status
+            ),
+            daemon=True,
+        )
+        for n in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    answered = [small_host.call(f"q-{n}").status for n in range(20)]
+    for thread in threads:
+        thread.join(standins.WAIT_S)
+    stopped.set()
+    assert answered == 20 * [200]
+    assert len(statuses) == 3
+    assert set(statuses) <= {502, 504}
+    for host in (small_host, second):
+        assert host.running()
+        assert host.peak_memory() < MEMORY_BYTES
+    orders.respond = None
+    standins.wait_for(
+        lambda: small_host.call("q-last", "/order/1").status == 200
+    )
+
+
+@kinds("header", "interim", "body", "small-chunks", "trailers")
+def test_endless_health_checks_harm_no_caller(
+    small_host, instance, first, endless
+):
+    """Guards against a restart that fails on an endless health check."""
+    stopped = threading.Event()
+    checks = []
+    handle = instance.handle
+
+    def handle_check(call):
+        if call.path != "/health" or stopped.is_set():
+            handle(call)
+            return
+        checks.append(call)
+        flood(call, first, endless, stopped)
+
+    instance.handle = handle_check
+    small_host.kill()
+    small_host.start()
+    small_host.limit_memory(MEMORY_BYTES)
+    standins.wait_for(lambda: small_host.readiness() == 200)
+    assert instance.heartbeat(small_host.ports["control"]) == 200
+    standins.wait_for(lambda: len(checks) >= 3)
+    stopped.set()
+    assert small_host.running()
+    assert small_host.peak_memory() < MEMORY_BYTES
+    assert instance.heartbeat(small_host.ports["control"]) == 200
+    standins.wait_for(lambda: small_host.call("q-last").status == 200)
--- a/tests/sidecar/test_ingress.py
+++ b/tests/sidecar/test_ingress.py
@@ -85,6 +85,38 @@
     asyncio.run(run())
 
 
+def test_kept_outcomes_count_their_headers():
+    """Guards against headers that fill the memory for as long as it is kept."""
+
+    async def run():
+        limit = 1_000_000
+        started = make(byte_budgets.ByteBudget(limit))
+        headers = [(f"x-{n}", "v") for n in range(300)]
+        for number in range(10):
+            name = f"d-2/a/{number}"
+            frame = frames.Response(
+                name,
+                200,
+                headers,
+                b"",
+                load_balancing.LoadReport(1, 0, 0, 0),
+                1,
+            )
+            fut = asyncio.get_running_loop().create_future()
+            fut.set_result(frame)
+            started._outcomes.begin(name, fut)
+            started._complete(name, ingress._response_bytes(fut))
+        # 300 headers take 60 KB, and outcomes a tenth of the budget.
+        kept = [
+            number
+            for number in range(10)
+            if started._outcomes.get(f"d-2/a/{number}") is not None
+        ]
+        assert kept == [9]
+
+    asyncio.run(run())
+
+
 def test_a_daemon_is_not_idle_while_it_sends_a_body():
     """Guards against a planned stop that cuts a long response."""
 
