Limit the memory that announcements take

What callers saw: nothing yet; a daemon's memory passed that of its host.

Cause: the listener for announcements had the callers' limit for a body, 64 MiB, and no byte budget, so each connection of an instance could fill that much.

Change: the listeners for announcements, readiness and metrics take bodies of up to 64 KiB, and 16 MiB for all connections of a listener together.

--- a/packages/sidecar/buckthorn_sidecar/listeners.py
+++ b/packages/sidecar/buckthorn_sidecar/listeners.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import loguru
+import msgspec
 
 from buckthorn_adapters import http1
 from buckthorn_adapters import metrics
@@ -44,6 +45,11 @@
     settings.DEFAULT_HEADER_TIMEOUT_S,
     settings.DEFAULT_IDLE_TIMEOUT_S,
 )
+# The same for announcements, readiness and metrics, and their memory in bytes.
+AUXILIARY_LIMITS = msgspec.structs.replace(
+    DEFAULT_LIMITS, max_body_bytes=65_536
+)
+AUXILIARY_BUDGET_BYTES = 16_777_216
 
 
 class _PendingResponse:
@@ -468,6 +474,7 @@
         body_budget: byte_budgets.ByteBudget | None = None,
         max_connections: int = sys.maxsize,
         meter: metrics.Metrics | None = None,
+        limits: virtual_hosts.CallerLimits = DEFAULT_LIMITS,
     ):
         """Creates the listener.
 
@@ -478,11 +485,12 @@
                 None for no limit.
             max_connections: Most connections that are open at a time.
             meter: Counts what callers are refused; None to count nothing.
+            limits: Size limits and timeouts for callers.
         """
         self._address = address
         self.handler = handler
         self.body_budget = body_budget or byte_budgets.ByteBudget()
-        self.limits = DEFAULT_LIMITS
+        self.limits = limits
         self.draining = False
         self.meter = meter
         self.conns: set[ListenerConnection] = set()
--- a/tests/platform/test_misbehaving_instances.py
+++ b/tests/platform/test_misbehaving_instances.py
@@ -1,5 +1,7 @@
 """Instances that send endless responses to a daemon with little memory."""
 
+import contextlib
+import socket
 import threading
 
 import pytest
@@ -193,3 +195,44 @@
     assert small_host.peak_memory() < MEMORY_BYTES
     assert instance.heartbeat(small_host.ports["control"]) == 200
     standins.wait_for(lambda: small_host.call("q-last").status == 200)
+
+
+# What an instance sends of an announcement before it goes on, in bytes. Just
+# under the largest body of a caller.
+ANNOUNCED_BYTES = 60 * 1_048_576
+CALL = b"POST /api/rpc?call=instances.heartbeat&of=i-1 HTTP/1.1\r\nHost: h\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "endless"),
+    [
+        (CALL + b"Content-Length: 67108864\r\n\r\n", BLOCK),
+        (
+            CALL + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"10000\r\n" + BLOCK + b"\r\n",
+        ),
+        (CALL + b"X-A: ", BLOCK),
+    ],
+    ids=["length", "chunks", "header"],
+)
+def test_endless_announcements_harm_no_caller(host, instance, first, endless):
+    """Guards against an instance that fills the memory by announcing itself.
+
+    It sends on several connections and keeps them open. The memory is not
+    limited: a failed allocation would end a connection in place of the daemon.
+    """
+    address, _, port = host.ports["control"].partition(":")
+    socks = []
+    for _ in range(6):
+        sock = socket.create_connection((address, int(port)), standins.WAIT_S)
+        socks.append(sock)
+        with contextlib.suppress(OSError):
+            sock.sendall(first)
+            for _ in range(ANNOUNCED_BYTES // len(endless)):
+                sock.sendall(endless)
+    assert host.call("q-1").status == 200
+    assert instance.heartbeat(host.ports["control"]) == 200
+    for sock in socks:
+        sock.close()
+    assert host.running()
+    assert host.peak_memory() < MEMORY_BYTES
