Keep a failed heartbeat of one request from ending all others

What callers saw: 504 for requests that took longer than the silence timeout, through the daemon of packages/daemon, once its heartbeats had ended.

Cause: one thread sends the heartbeats of all requests and passed over OSError only. A connection that is closed between the look at the requests and the heartbeat has no descriptor, and select.poll raises ValueError for it.

Evidence: test_a_failed_heartbeat_ends_no_others fails before with ValueError and KeyError (504), and holds with OSError. The race itself was not seen.

Change: any exception ends the heartbeats of that request alone; one that is not expected is logged as heartbeat_failed.

Result: the test passes in all three cases.

--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -143,8 +143,11 @@
             for exchange, lease in list(self._in_progress.items()):
                 try:
                     exchange.send_heartbeat()
-                except OSError:
-                    # The other daemon has disconnected.
+                except Exception as exc:
+                    # The other daemon has disconnected. All other requests
+                    # need the heartbeats of this thread, too.
+                    if not isinstance(exc, OSError | ValueError):
+                        _logger.exception("heartbeat_failed")
                     self._in_progress.pop(exchange, None)
                     if lease is not None:
                         lease.cancel()
--- a/tests/daemon/test_hops.py
+++ b/tests/daemon/test_hops.py
@@ -363,6 +363,29 @@
     assert answer.startswith(b"HTTP/1.1 200"), answer
 
 
+@pytest.mark.parametrize("exc", [OSError, ValueError, KeyError])
+def test_a_failed_heartbeat_ends_no_others(pair, exc):
+    """Guards against requests that are given up since heartbeats have ended.
+
+    A connection that is closed between two checks fails with ValueError.
+    """
+
+    class Broken:
+        failed = threading.Event()
+
+        def send_heartbeat(self):
+            self.failed.set()
+            raise exc("closed")
+
+    broken = Broken()
+    pair.ingress._in_progress[broken] = None
+    assert broken.failed.wait(5.0)
+    pair.connect(pairs.SocketServer(make_script(PAUSE_S, PAUSE_S, pairs.OK)))
+    answer = pair.call(GET)
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+    assert broken not in pair.ingress._in_progress
+
+
 def wait_until(done, timeout_s: float = 5.0) -> None:
     end_s = time.monotonic() + timeout_s
     while not done():
