Limit the parts of responses that http.client reads without end

What callers saw: through the daemon of packages/daemon, a request whose upstream sent interim answers, trailers or the body of a refusal without end was not answered, and its slot stayed taken. A command of buckthornctl never ended.

Cause: http.client limits each line, not the number of interim responses and trailers, and nothing limited the time of a head. The body of a refusal was read to its end before the refusal was passed on, and buckthornctl read the rest of an answer that was too long.

Change: limited_responses wraps the stream that http.client reads lines from: 64 KiB, 8 bytes for each byte of the body, and 1 KiB a second for the heartbeats of daemons. The head of an upstream's response has the request's deadline. The body of a refusal is not read; its connection was closed anyway. read_body limits bodies that are read whole, in bytes and time.

--- a/packages/adapters/buckthorn_adapters/http_clients.py
+++ b/packages/adapters/buckthorn_adapters/http_clients.py
@@ -11,10 +11,10 @@
 from typing import Any
 
 import urllib3
-from urllib3 import connection
 
 from buckthorn_adapters import bodies
 from buckthorn_adapters import interim_responses
+from buckthorn_adapters import limited_responses
 from buckthorn_adapters import servers
 from buckthorn_core import body_progress
 from buckthorn_core import errors
@@ -54,7 +54,9 @@
         sent: Whether any byte of the request may have been sent.
     """
 
-    def __init__(self, pool: "ConnectionPool", conn: connection.HTTPConnection):
+    def __init__(
+        self, pool: "ConnectionPool", conn: limited_responses.HTTPConnection
+    ):
         self._pool = pool
         self._conn = conn
         self.sent = False
@@ -72,6 +74,7 @@
         await_continue: bool = False,
         stream_timeout_s: float | None = None,
         source: bodies.Body | None = None,
+        head_timeout_s: float | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Sends a request and returns the response with its body unread.
 
@@ -87,6 +90,8 @@
                 in seconds; None for `timeout_s`.
             source: Source of a streamed body. The peer is checked while the
                 source pauses.
+            head_timeout_s: Longest time until the head of the response is
+                complete, in seconds; None for no limit.
 
         Raises:
             NotSentError: The connection could not be established.
@@ -105,6 +110,11 @@
         self._sock = sock
         # HTTPConnection sets its timeout on the socket again at each step.
         conn.timeout = timeout_s
+        conn.head_deadline_s = (
+            None
+            if head_timeout_s is None
+            else time.monotonic() + head_timeout_s
+        )
         sock.settimeout(timeout_s)
         self.sent = True
         if body is not None and not isinstance(body, bytes):
@@ -267,7 +277,7 @@
         self._host = host
         self._port = int(port)
         self._lock = threading.Lock()
-        self._idle: list[tuple[float, connection.HTTPConnection]] = []
+        self._idle: list[tuple[float, limited_responses.HTTPConnection]] = []
 
     def acquire(self, recently_active: bool) -> Lease:
         """Returns an idle connection, or a new one that is not connected.
@@ -287,7 +297,7 @@
             if idle_since_s >= min_idle_since_s and conn.is_connected:
                 return Lease(self, conn)
             conn.close()
-        conn = connection.HTTPConnection(
+        conn = limited_responses.HTTPConnection(
             self._host,
             self._port,
             timeout=CONNECT_TIMEOUT_S,
@@ -296,7 +306,7 @@
         )
         return Lease(self, conn)
 
-    def put(self, conn: connection.HTTPConnection) -> None:
+    def put(self, conn: limited_responses.HTTPConnection) -> None:
         """Adds a connection that has just completed an exchange."""
         with self._lock:
             if len(self._idle) < MAX_IDLE_CONNECTIONS and conn.sock is not None:
@@ -316,7 +326,7 @@
     def __init__(self) -> None:
         super().__init__(ids.Address("0.0.0.0:0"))
 
-    def put(self, conn: connection.HTTPConnection) -> None:
+    def put(self, conn: limited_responses.HTTPConnection) -> None:
         conn.close()
 
 
--- a/packages/adapters/buckthorn_adapters/log_clients.py
+++ b/packages/adapters/buckthorn_adapters/log_clients.py
@@ -8,6 +8,7 @@
 import urllib3
 import zstandard
 
+from buckthorn_adapters import limited_responses
 from buckthorn_core import errors
 from buckthorn_core import ids
 from buckthorn_core import ports
@@ -16,6 +17,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 3.0
+# Longest time for a whole response, in seconds.
+RESPONSE_TIMEOUT_S = 30.0
 MAX_BATCH_BYTES = 64 * 1_048_576
 # Of all responses: rises each time the log is restored from a copy.
 EPOCH_HEADER = "Log-Epoch"
@@ -51,7 +54,7 @@
         self._control_traffic = control_traffic
         self._scope = scope
         self._decoder = msgspec.msgpack.Decoder(_WireBatch)
-        self._pool = urllib3.PoolManager(
+        self._pool = limited_responses.PoolManager(
             maxsize=4,
             retries=False,
             timeout=urllib3.Timeout(
@@ -125,13 +128,9 @@
             resp = self._pool.request(
                 method, self._url + path, preload_content=False, **options
             )
-            data = resp.read(MAX_BATCH_BYTES + 1)
-            if len(data) > MAX_BATCH_BYTES:
-                resp.close()
-                raise errors.LogError(
-                    errors.Code.BAD_RECORD,
-                    f"the answer is over {MAX_BATCH_BYTES} bytes",
-                )
+            data = limited_responses.read_body(
+                resp, MAX_BATCH_BYTES, RESPONSE_TIMEOUT_S
+            )
             resp.release_conn()
         except urllib3.exceptions.HTTPError as exc:
             raise errors.LogError(
--- a/packages/client/buckthorn_client/daemons.py
+++ b/packages/client/buckthorn_client/daemons.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from buckthorn_adapters import limited_responses
 from buckthorn_core import burn_reports
 from buckthorn_core import errors
 from buckthorn_core import fleets
@@ -21,7 +22,9 @@
 
     def __init__(self, url: str):
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._pool = limited_responses.PoolManager(
+            retries=False, timeout=TIMEOUT_S
+        )
 
     def fleet(self) -> fleets.FleetStatus:
         """Returns the status of the fleet.
@@ -45,12 +48,13 @@
             resp = self._pool.request(
                 "GET", f"{self._url}{path}", preload_content=False
             )
-            body = resp.read(MAX_ANSWER_BYTES + 1)
-            resp.drain_conn()
+            body = limited_responses.read_body(
+                resp, MAX_ANSWER_BYTES, TIMEOUT_S
+            )
             resp.release_conn()
         except urllib3.exceptions.HTTPError as exc:
             raise _unavailable(self._url, str(exc)) from exc
-        if resp.status != 200 or len(body) > MAX_ANSWER_BYTES:
+        if resp.status != 200:
             raise _unavailable(
                 self._url, f"status {resp.status}, {len(body)} bytes"
             )
--- a/packages/daemon/buckthorn_daemon/error_responses.py
+++ b/packages/daemon/buckthorn_daemon/error_responses.py
@@ -2,9 +2,13 @@
 
 from typing import Any
 
+from buckthorn_adapters import limited_responses
 from buckthorn_adapters import servers
 from buckthorn_core import errors
 
+MAX_TEXT_BYTES = 65_536
+TEXT_TIMEOUT_S = 1.0
+
 
 def raise_reported(resp: Any) -> None:
     """Raises the error that a response reports, if any.
@@ -19,6 +23,7 @@
 
     Raises:
         errors.RequestError: The error that the response reports.
+        urllib3.exceptions.HTTPError: Its text is too long or incomplete.
     """
     name = resp.headers.get(servers.NOT_RUN_HEADER)
     if name is not None:
@@ -28,7 +33,8 @@
     else:
         return
     retry_after = resp.headers.get("Retry-After", "")
-    text = resp.read(decode_content=False).decode("utf-8", "replace").strip()
+    body = limited_responses.read_body(resp, MAX_TEXT_BYTES, TEXT_TIMEOUT_S)
+    text = body.decode("utf-8", "replace").strip()
     raise errors.RequestError(
         code, text, float(retry_after) if retry_after.isdecimal() else None
     )
--- a/packages/daemon/buckthorn_daemon/ingress.py
+++ b/packages/daemon/buckthorn_daemon/ingress.py
@@ -295,8 +295,9 @@
                 max(MIN_TIMEOUT_S, left_s),
                 stream_timeout_s=STREAM_TIMEOUT_S,
                 source=exchange.body,
+                head_timeout_s=max(MIN_TIMEOUT_S, left_s),
             )
-            self._check_not_shed(resp, lease)
+            self._check_not_shed(resp)
             http_clients.relay_response(
                 exchange, resp, headers.for_daemon(resp.headers), to_daemon=True
             )
@@ -340,11 +341,10 @@
         if self._crash_detector.on_connection_lost(upstream.port):
             self._mark_down(upstream)
 
-    def _check_not_shed(self, resp: Any, lease: http_clients.Lease) -> None:
+    def _check_not_shed(self, resp: Any) -> None:
         if servers.NOT_RUN_HEADER not in resp.headers:
             return
         retry_after = resp.headers.get("Retry-After", "1")
-        resp.drain_conn()
         raise errors.RequestError(
             errors.Code.UPSTREAM_SHED,
             "the upstream sheds load",
