--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -609,6 +609,25 @@
             conn.close()
 
 
+def keep_open(host, count, headers=()):
+    """Returns connections with answers that their clients have not read."""
+    socks = [host.connect() for _ in range(count)]
+    for n, sock in enumerate(socks):
+        fields = {
+            "Host": "shop.example",
+            PREFIX + "Request-Id": f"k-{n}",
+            PREFIX + "Deadline-Ms": "9000",
+            **dict(headers),
+        }
+        lines = [f"{name}: {value}" for name, value in fields.items()]
+        head = "\r\n".join(["GET /browse/1 HTTP/1.1", *lines, "", ""])
+        sock.sendall(head.encode())
+    for sock in socks:
+        with contextlib.suppress(OSError):
+            sock.recv(1)
+    return socks
+
+
 def path_entry(name, prefix, service="stock", **changes):
     """Returns a route as the platform's operator writes it."""
     return {
