Limit responses over TLS, too; share the flood of the tests

Cause: the pools of limited_responses knew the scheme http alone, so a log service with an https URL could not be reached.

Change: connections over TLS limit their responses in the same way. The tests of endless responses share one function.

--- a/packages/adapters/buckthorn_adapters/limited_responses.py
+++ b/packages/adapters/buckthorn_adapters/limited_responses.py
@@ -116,8 +116,8 @@
         self._limited.head_deadline_s = None
 
 
-class HTTPConnection(connection.HTTPConnection):
-    """A connection that limits its responses.
+class _LimitsResponses:
+    """Mixin of connections that limit their responses.
 
     Attributes:
         head_deadline_s: Monotonic time at which the head of the next response
@@ -126,7 +126,7 @@
 
     head_deadline_s: float | None = None
 
-    def response_class(  # type: ignore[override]
+    def response_class(
         self, *args: Any, **kwargs: Any
     ) -> http.client.HTTPResponse:
         """Returns a response of which no part has an unlimited size."""
@@ -135,16 +135,31 @@
         )
 
 
-class _ConnectionPool(connectionpool.HTTPConnectionPool):
+class HTTPConnection(_LimitsResponses, connection.HTTPConnection):  # type: ignore[misc]
+    """A connection that limits its responses."""
+
+
+class _HTTPSConnection(_LimitsResponses, connection.HTTPSConnection):  # type: ignore[misc]
+    """The same over TLS."""
+
+
+class _HTTPConnectionPool(connectionpool.HTTPConnectionPool):
     ConnectionCls = HTTPConnection
 
 
+class _HTTPSConnectionPool(connectionpool.HTTPSConnectionPool):
+    ConnectionCls = _HTTPSConnection
+
+
 class PoolManager(urllib3.PoolManager):
     """Pools of connections that limit their responses."""
 
     def __init__(self, **options: Any):
         super().__init__(**options)
-        self.pool_classes_by_scheme = {"http": _ConnectionPool}
+        self.pool_classes_by_scheme = {
+            "http": _HTTPConnectionPool,
+            "https": _HTTPSConnectionPool,
+        }
 
 
 def read_body(
--- a/tests/platform/test_misbehaving_instances.py
+++ b/tests/platform/test_misbehaving_instances.py
@@ -72,6 +72,27 @@
         call.wfile.write(endless)
 
 
+def call_beside_floods(host, path, stopped):
+    """Returns the statuses of 20 calls, and of 3 with endless responses."""
+    flooded = []
+    threads = [
+        threading.Thread(
+            target=lambda n=n: flooded.append(
+                host.call(f"f-{n}", f"{path}-{n}").status
+            ),
+            daemon=True,
+        )
+        for n in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    answered = [host.call(f"q-{n}").status for n in range(20)]
+    for thread in threads:
+        thread.join(standins.WAIT_S)
+    stopped.set()
+    return answered, flooded
+
+
 @kinds(*ENDLESS)
 def test_endless_responses_harm_no_other_caller(
     small_host, instance, first, endless
@@ -89,25 +110,10 @@
         flood(call, first, endless, stopped)
 
     instance.respond = respond
-    results = []
-    threads = [
-        threading.Thread(
-            target=lambda n=n: results.append(
-                small_host.call(f"f-{n}", f"/browse/flood-{n}").status
-            ),
-            daemon=True,
-        )
-        for n in range(3)
-    ]
-    for thread in threads:
-        thread.start()
-    answered = [small_host.call(f"q-{n}").status for n in range(20)]
-    for thread in threads:
-        thread.join(standins.WAIT_S)
-    stopped.set()
+    answered, flooded = call_beside_floods(small_host, "/browse/flood", stopped)
     assert answered == 20 * [200]
-    assert len(results) == 3
-    assert set(results) <= {502, 504}
+    assert len(flooded) == 3
+    assert set(flooded) <= {502, 504}
     assert small_host.running()
     assert small_host.call("q-last").status == 200
 
@@ -139,25 +145,10 @@
     )
     stopped = threading.Event()
     orders.respond = lambda call, run: flood(call, first, endless, stopped)
-    statuses = []
-    threads = [
-        threading.Thread(
-            target=lambda n=n: statuses.append(
-                small_host.call(f"f-{n}", f"/order/{n}").status
-            ),
-            daemon=True,
-        )
-        for n in range(3)
-    ]
-    for thread in threads:
-        thread.start()
-    answered = [small_host.call(f"q-{n}").status for n in range(20)]
-    for thread in threads:
-        thread.join(standins.WAIT_S)
-    stopped.set()
+    answered, flooded = call_beside_floods(small_host, "/order/", stopped)
     assert answered == 20 * [200]
-    assert len(statuses) == 3
-    assert set(statuses) <= {502, 504}
+    assert len(flooded) == 3
+    assert set(flooded) <= {502, 504}
     for host in (small_host, second):
         assert host.running()
         assert host.peak_memory() < MEMORY_BYTES
