--- a/tests/sidecar/test_ingress.py
+++ b/tests/sidecar/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.fakes import sidecar_settings
 
 from buckthorn_adapters import metrics
 from buckthorn_adapters import traffic_counters
@@ -13,23 +14,12 @@
 from buckthorn_platform import headers
 from buckthorn_sidecar import frames
 from buckthorn_sidecar import ingress
-from buckthorn_sidecar import settings
 
-ADDRESS = "127.0.0.1:1"
+ADDRESS = sidecar_settings.ADDRESS
 
 
 def make(budget=None):
-    cfg = settings.Settings(
-        daemon="d-1",
-        site="s",
-        region="r",
-        service="stock",
-        upstream_address=ADDRESS,
-        callers_listen=ADDRESS,
-        daemons_listen=ADDRESS,
-        control_listen=ADDRESS,
-        ready_listen=ADDRESS,
-    )
+    cfg = sidecar_settings.make()
     return ingress.Ingress(
         cfg,
         headers.PlatformHeaders(),
--- a/tests/sidecar/test_planned_stop_steps.py
+++ b/tests/sidecar/test_planned_stop_steps.py
@@ -4,14 +4,12 @@
 
 import pytest
 from tests.fakes import keyed_logs
+from tests.fakes import sidecar_settings
 
 from buckthorn_platform import configurations
 from buckthorn_platform import headers
-from buckthorn_sidecar import settings
 from buckthorn_sidecar import sidecar
 
-ADDRESS = "127.0.0.1:1"
-
 
 @pytest.mark.parametrize(
     ("part", "step"),
@@ -28,17 +26,7 @@
     monkeypatch.setattr(sidecar, "READINESS_PROPAGATION_S", 0.0)
 
     async def run():
-        cfg = settings.Settings(
-            daemon="d-1",
-            site="s",
-            region="r",
-            service="stock",
-            upstream_address=ADDRESS,
-            callers_listen=ADDRESS,
-            daemons_listen=ADDRESS,
-            control_listen=ADDRESS,
-            ready_listen=ADDRESS,
-        )
+        cfg = sidecar_settings.make()
         daemon = sidecar.Sidecar(
             cfg,
             headers.PlatformHeaders(),
